--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! Workload decisions before analytic engines. No I/O: events go in, actions come out.
+
+pub mod choice;
+pub mod interface;
