Reports count one second and close an engine above 97 percent

A report lags and stands still while nothing is sent, so ten seconds kept engines shut long after they had room.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,8 +13,8 @@
 /// Bounds of the coefficient by which a statement's estimate scales its weight.
 const COEFFICIENT: (f64, f64) = (0.5, 4.0);
 /// A report counts for this long; above this utilisation it closes its engine.
-const REPORT_AGE: Duration = Duration::from_secs(10);
-const UTILISATION_LIMIT: f64 = 0.9;
+const REPORT_AGE: Duration = Duration::from_secs(1);
+const UTILISATION_LIMIT: f64 = 0.97;
 /// Held statements a core, and statements waiting for memory, that close an engine.
 const HELD_PER_CORE: f64 = 4.0;
 const MEM_WAITING_LIMIT: f64 = 2.0;
