--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,21 +9,24 @@
 use std::time::Duration;
 
 /// Threads a core that an engine is lent for, over all gateways.
-const THREADS_PER_CORE: f64 = 2.0;
+const THREADS_PER_CORE: f64 = 5.0;
 /// Bounds of the coefficient by which a statement's estimate scales its weight.
 const COEFFICIENT: (f64, f64) = (0.5, 4.0);
 /// A report counts for this long; above this utilisation it closes its engine.
 const REPORT_AGE: Duration = Duration::from_secs(1);
-const UTILISATION_LIMIT: f64 = 0.97;
+const UTILISATION_LIMIT: f64 = 1.5;
+const PRESSED_UTILISATION: f64 = 0.9;
+const HELD_PRESSURE: f64 = 1.5;
+const SPARE_UTILISATION: f64 = 0.7;
 /// Held statements a core, and statements waiting for memory, that close an engine.
 const HELD_PER_CORE: f64 = 4.0;
 const MEM_WAITING_LIMIT: f64 = 2.0;
 /// A pace this many times the best seen, or a refusal as full so lately, is pressure.
-const PACE_PRESSURE: f64 = 2.0;
+const PACE_PRESSURE: f64 = 3.0;
 const FULL_AGE: Duration = Duration::from_secs(1);
 /// Share of a mean that a new figure makes up.
 const LEARN: f64 = 0.05;
-const PACE_LEARN: f64 = 0.2;
+const PACE_LEARN: f64 = 0.1;
 /// Fault level that sets an engine aside, the one that takes it back, and the first and longest pause.
 const FAULTS_ASIDE: f64 = 0.5;
 const FAULTS_BACK: f64 = 0.2;
@@ -155,8 +158,10 @@
     terms: WorkloadTerms,
     executions: usize,
     estimate: Mean,
-    /// Seconds that an execution with coefficient 1 takes, and that its work makes up on one thread.
+    /// Seconds that an execution with coefficient 1 takes: of late, and on an engine with room.
     elapsed: Mean,
+    calm: Mean,
+    /// Seconds that its work makes up on one thread.
     work: Mean,
 }
 
@@ -174,6 +179,7 @@
     /// While set aside: when it may next be tried, and the pause after that.
     aside: Option<(Duration, Duration)>,
     heard: Duration,
+    broke: bool,
     warm_at: Duration,
     /// Work sent of late while cold; emptied as the rule's window passes.
     cold_sends: VecDeque<(Duration, f64)>,
@@ -214,6 +220,7 @@
             executions: further_by_importance(terms.importance / top, site.execution_limit),
             estimate: Mean { value: 0.0, seen: false },
             elapsed: Mean { value: terms.slo_time.as_secs_f64() / 2.0, seen: false },
+            calm: Mean { value: terms.slo_time.as_secs_f64() / 2.0, seen: false },
             work: Mean { value: terms.slo_time.as_secs_f64() * terms.threads / 2.0, seen: false },
         });
         let mut chooser = Chooser {
@@ -320,8 +327,9 @@
         };
         let after = self.engines.range::<Id, _>((Excluded(&start), Unbounded));
         let walk = after.chain(self.engines.range::<Id, _>(..=&start)).map(|(id, _)| id);
-        let fit =
-            walk.filter(|e| self.fits(now, stmt, e, common)).find(|e| self.forbids(now, id, e).is_none());
+        let fit = walk
+            .filter(|e| self.fits(now, stmt, e, common) && self.forbids(now, id, e).is_none())
+            .min_by_key(|e| self.objections(stmt, &self.engines[*e]));
         match fit.cloned() {
             Some(engine) => self.send(now, id, engine),
             None => Input::NoRoom,
@@ -348,6 +356,11 @@
         }
     }
 
+    /// Of the engines that fit, the walk takes the first with the least against it.
+    fn objections(&self, stmt: &Stmt, engine: &Engine) -> u32 {
+        u32::from(engine.load + self.weight(stmt) > self.capacity(engine))
+    }
+
     fn weight(&self, stmt: &Stmt) -> f64 {
         self.rows[stmt.workload].terms.threads * stmt.coefficient
     }
@@ -369,7 +382,11 @@
     /// The slice binds only while this holds.
     fn pressed(&self, now: Duration, engine: &Engine) -> bool {
         now < engine.warm_at
-            || engine.pace.value > PACE_PRESSURE * engine.best
+            || engine.report.is_some_and(|(_, r)| {
+                r.utilisation.is_some_and(|u| u > PRESSED_UTILISATION)
+                    || r.held.is_some_and(|h| h > HELD_PRESSURE * engine.cores)
+            })
+            || engine.pace.value > PACE_PRESSURE * engine.best.max(1.0)
             || engine.full_at.is_some_and(|at| now < at + FULL_AGE)
     }
 
@@ -528,14 +545,21 @@
         };
         let never = matches!(ended.outcome, Outcome::Full | Outcome::Refused | Outcome::Skipped);
         execution.fate = if never { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (weight, usual) = (execution.weight, execution.usual);
+        let weight = execution.weight;
         let coefficient = stmt.coefficient;
         let row = &mut self.rows[stmt.workload];
         let elapsed = ended.elapsed.as_secs_f64();
+        let mut pace = 1.0;
         if ended.outcome == Outcome::Completed {
             row.elapsed.show(elapsed / coefficient, LEARN);
             let work = ended.took.map_or(elapsed * row.terms.threads, |t| t.0.as_secs_f64());
             row.work.show(work, LEARN);
+            let spare = self.engines.get(&ended.engine).is_some_and(|e| e.spare());
+            row.calm.show(elapsed / coefficient, if spare { LEARN } else { LEARN / 10.0 });
+            pace = match ended.took {
+                Some((work, _)) if !work.is_zero() => elapsed * row.terms.threads / work.as_secs_f64(),
+                _ => elapsed / (row.calm.value * coefficient),
+            };
         }
         if matches!(ended.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             if let Some(line) = stmt.key.as_ref().and_then(|key| self.lines.get_mut(key)) {
@@ -545,7 +569,7 @@
         let out = stmt.executions.iter().any(|x| x.fate == Fate::Out);
         if let Some(engine) = self.engines.get_mut(&ended.engine) {
             engine.load = (engine.load - weight).max(0.0);
-            engine.judge(now, ended.outcome, elapsed / usual.max(1e-6), self.site.cold.warm_after);
+            engine.judge(now, ended.outcome, pace, self.site.cold.warm_after);
         }
         let input = match ended.over {
             true => Input::Finished,
@@ -684,7 +708,7 @@
         for x in self.stmts.values().filter(|s| out(s)).flat_map(|s| &s.executions) {
             let Some(engine) = self.engines.get(&x.engine).filter(|_| x.fate == Fate::Out) else { continue };
             let since = x.sent.max(engine.heard);
-            if now > since + Duration::from_secs_f64(x.usual * SILENT_TIMES) {
+            if now > since + Duration::from_secs_f64(x.usual * SILENT_TIMES * engine.pace.value.max(1.0)) {
                 silent.insert(x.engine.clone());
             }
         }
@@ -723,11 +747,16 @@
             faults: 0.0,
             aside: None,
             heard: now,
+            broke: false,
             warm_at: Duration::ZERO,
             cold_sends: VecDeque::new(),
         }
     }
 
+    fn spare(&self) -> bool {
+        self.report.is_some_and(|(_, r)| r.utilisation.is_some_and(|u| u < SPARE_UTILISATION))
+    }
+
     fn judge(&mut self, now: Duration, outcome: Outcome, pace: f64, warm_after: Duration) {
         let fault = match outcome {
             Outcome::Completed => 0.0,
@@ -740,6 +769,8 @@
             Outcome::Cancelled | Outcome::Skipped => return,
         };
         self.faults = (self.faults + 0.3 * (fault - self.faults)).min(1.0);
+        // A broken or refused connection: it may come back restarted before the list says so.
+        self.broke |= matches!(outcome, Outcome::Reset | Outcome::Refused);
         if outcome == Outcome::Completed {
             self.pace.show(pace, PACE_LEARN);
             self.best = self.best.min(self.pace.value);
@@ -749,10 +780,10 @@
             Some((_, pause)) if fault > 0.0 => {
                 self.aside = Some((now + pause, (pause * 2).min(PAUSE.1)));
             }
-            // Back again: it may have restarted unseen, so it is taken as cold.
             Some(_) if self.faults < FAULTS_BACK => {
                 self.aside = None;
-                self.warm_at = self.warm_at.max(now + warm_after / 2);
+                self.warm_at = self.warm_at.max(if self.broke { now + warm_after / 2 } else { now });
+                self.broke = false;
             }
             _ => {}
         }
