--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Threads a core that an engine is lent for, over all gateways.
-const THREADS_PER_CORE: f64 = 5.0;
+const THREADS_PER_CORE: f64 = 4.0;
 /// Bounds of the coefficient by which a statement's estimate scales its weight.
 const COEFFICIENT: (f64, f64) = (0.5, 4.0);
 /// A report counts for this long; above this utilisation it closes its engine.
@@ -42,6 +42,8 @@
 /// Share of its cores that a warm engine is taken to work at, at the least.
 const WARM_WORK_PER_CORE: f64 = 0.75;
 const CORES_UNTOLD: f64 = 8.0;
+/// How long a note that a statement stands still for a load counts.
+const HELD_SPAN: Duration = Duration::from_secs(1);
 const BEAT: Duration = Duration::from_millis(50);
 const BEAT_MARK: u64 = 0;
 
@@ -135,6 +137,7 @@
     key: Option<Id>,
     until: Duration,
     coefficient: f64,
+    table_group: Option<u64>,
     executions: Vec<Execution>,
 }
 
@@ -181,6 +184,8 @@
     heard: Duration,
     broke: bool,
     warm_at: Duration,
+    /// Table groups that loads hold there, and until when we believe it; emptied as that passes.
+    held: BTreeMap<u64, Duration>,
     /// Work sent of late while cold; emptied as the rule's window passes.
     cold_sends: VecDeque<(Duration, f64)>,
 }
@@ -254,7 +259,15 @@
                 self.hear(now, &engine);
                 self.drive(now, &id, Input::Answering)
             }
-            Event::Noted { engine, .. } => self.hear(now, &engine),
+            Event::Noted { id, engine, note, .. } => {
+                self.hear(now, &engine);
+                let group = self.stmts.get(&id).and_then(|s| s.table_group);
+                if let (Note::WaitsForLoad, Some(group), Some(at)) =
+                    (note, group, self.engines.get_mut(&engine))
+                {
+                    at.held.insert(group, now + HELD_SPAN);
+                }
+            }
             Event::Told { .. } => {}
             Event::Timer(BEAT_MARK) => self.beat(now),
             Event::Timer(_) => {}
@@ -301,6 +314,7 @@
             key,
             until: now + new.time_left,
             coefficient,
+            table_group: new.table_group,
             executions: Vec::new(),
         };
         self.stmts.insert(new.id.clone(), stmt);
@@ -326,10 +340,15 @@
             },
         };
         let after = self.engines.range::<Id, _>((Excluded(&start), Unbounded));
-        let walk = after.chain(self.engines.range::<Id, _>(..=&start)).map(|(id, _)| id);
+        let mut walk: Vec<&Id> =
+            after.chain(self.engines.range::<Id, _>(..=&start)).map(|(id, _)| id).collect();
+        if let Some(group) = stmt.table_group.filter(|_| row.terms.holds_group) {
+            walk.sort_by_key(|engine| std::cmp::Reverse(home_rank(group, engine)));
+        }
         let fit = walk
+            .into_iter()
             .filter(|e| self.fits(now, stmt, e, common) && self.forbids(now, id, e).is_none())
-            .min_by_key(|e| self.objections(stmt, &self.engines[*e]));
+            .min_by_key(|e| self.objections(now, stmt, &self.engines[*e]));
         match fit.cloned() {
             Some(engine) => self.send(now, id, engine),
             None => Input::NoRoom,
@@ -356,9 +375,21 @@
         }
     }
 
-    /// Of the engines that fit, the walk takes the first with the least against it.
-    fn objections(&self, stmt: &Stmt, engine: &Engine) -> u32 {
-        u32::from(engine.load + self.weight(stmt) > self.capacity(engine))
+    /// Of the engines that fit, the walk takes the first with the least against it: a reader stays away from
+    /// where its table group is held, then from where loads of that group go first, then from a full slice.
+    fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
+        let terms = &self.rows[stmt.workload].terms;
+        let over = engine.load + self.weight(stmt) > self.capacity(engine);
+        if terms.holds_group && stmt.table_group.is_some() {
+            return u32::from(over);
+        }
+        let group = stmt.table_group.filter(|_| terms.waits_for_group);
+        let held = group.is_some_and(|g| engine.held.get(&g).is_some_and(|until| now < *until));
+        let home = group.and_then(|g| {
+            let live = self.engines.values().filter(|e| e.entry.state == EngineState::In);
+            live.map(|e| &e.entry.id).max_by_key(|id| home_rank(g, id))
+        });
+        u32::from(held) * 4 + u32::from(home == Some(&engine.entry.id)) * 2 + u32::from(over)
     }
 
     fn weight(&self, stmt: &Stmt) -> f64 {
@@ -506,6 +537,9 @@
         let work = row.work.value;
         let to = self.engines.get_mut(&engine).expect("the gate knows it");
         to.load += weight;
+        if let Some(group) = stmt.table_group.filter(|_| row.terms.holds_group) {
+            to.held.insert(group, now + Duration::from_secs_f64(usual * 3.0));
+        }
         if now < to.warm_at {
             to.cold_sends.push_back((now, work));
         }
@@ -569,6 +603,9 @@
         let out = stmt.executions.iter().any(|x| x.fate == Fate::Out);
         if let Some(engine) = self.engines.get_mut(&ended.engine) {
             engine.load = (engine.load - weight).max(0.0);
+            if let Some(group) = stmt.table_group.filter(|_| row.terms.holds_group) {
+                engine.held.remove(&group);
+            }
             engine.judge(now, ended.outcome, pace, self.site.cold.warm_after);
         }
         let input = match ended.over {
@@ -696,6 +733,7 @@
             while engine.cold_sends.front().is_some_and(|s| s.0 + window <= now) {
                 engine.cold_sends.pop_front();
             }
+            engine.held.retain(|_, until| now < *until);
         }
         self.engines.retain(|_, e| e.entry.state != EngineState::Gone || e.load > 0.0);
     }
@@ -749,6 +787,7 @@
             heard: now,
             broke: false,
             warm_at: Duration::ZERO,
+            held: BTreeMap::new(),
             cold_sends: VecDeque::new(),
         }
     }
@@ -799,3 +838,10 @@
     let most = limit.max(1) as f64;
     (2.0 + (most - 2.0) * share).floor().clamp(1.0, most) as usize
 }
+
+/// Loads of a table group go to the engine that ranks highest for it, the same at every gateway.
+fn home_rank(group: u64, engine: &Id) -> u64 {
+    let seed = group.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0xcbf2_9ce4_8422_2325;
+    let mixed = engine.bytes().fold(seed, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
