Random resets shun no engine: faults weigh a fifth and only refusals return cold

Cause: two bad outcomes in a row set an engine aside and any reset made its return cold, so the cold gate starved a healthy fleet.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,7 @@
 const LEARN: f64 = 0.05;
 const PACE_LEARN: f64 = 0.1;
 /// Fault level that sets an engine aside, the one that takes it back, and the first and longest pause.
+const FAULT_LEARN: f64 = 0.2;
 const FAULTS_ASIDE: f64 = 0.5;
 const FAULTS_BACK: f64 = 0.2;
 const PAUSE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
@@ -807,9 +808,9 @@
             }
             Outcome::Cancelled | Outcome::Skipped => return,
         };
-        self.faults = (self.faults + 0.3 * (fault - self.faults)).min(1.0);
-        // A broken or refused connection: it may come back restarted before the list says so.
-        self.broke |= matches!(outcome, Outcome::Reset | Outcome::Refused);
+        self.faults = (self.faults + FAULT_LEARN * (fault - self.faults)).min(1.0);
+        // A refused connection: it may come back restarted before the list says so.
+        self.broke |= outcome == Outcome::Refused;
         if outcome == Outcome::Completed {
             self.pace.show(pace, PACE_LEARN);
             self.best = self.best.min(self.pace.value);
@@ -821,7 +822,7 @@
             }
             Some(_) if self.faults < FAULTS_BACK => {
                 self.aside = None;
-                self.warm_at = self.warm_at.max(if self.broke { now + warm_after / 2 } else { now });
+                self.warm_at = self.warm_at.max(if self.broke { now + warm_after / 4 } else { now });
                 self.broke = false;
             }
             _ => {}
