--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,6 +45,8 @@
 const CORES_UNTOLD: f64 = 8.0;
 /// How long a note that a statement stands still for a load counts.
 const HELD_SPAN: Duration = Duration::from_secs(1);
+/// Least share of the densest workload's importance for the work, for priorities 1, 2 and 3.
+const LANES: [f64; 3] = [0.07, 0.2, 0.4];
 const BEAT: Duration = Duration::from_millis(50);
 const BEAT_MARK: u64 = 0;
 
@@ -559,10 +561,23 @@
             fate: Fate::Out,
         });
         self.last = Some(engine.clone());
+        if self.site.priorities_heeded {
+            let priority = self.priority(id);
+            self.actions.push(Action::Terms { id: id.clone(), mem_mb: 0.0, priority });
+        }
         self.actions.push(Action::Send { id: id.clone(), engine, timeout });
         Input::Sent
     }
 
+    /// Scarce cores go by importance for the work: each lane below the densest is a step down.
+    fn priority(&self, id: &Id) -> u8 {
+        let density = |row: &Row| row.terms.importance / row.work.value.max(1e-6);
+        let top = self.rows.iter().map(density).fold(f64::MIN_POSITIVE, f64::max);
+        let stmt = &self.stmts[id];
+        let share = density(&self.rows[stmt.workload]) / stmt.coefficient / top;
+        LANES.iter().filter(|least| share >= **least).count() as u8
+    }
+
     fn ended(&mut self, now: Duration, ended: Ended) {
         let unheard = matches!(
             ended.outcome,
