--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,9 +44,16 @@
 const WARM_WORK_PER_CORE: f64 = 0.75;
 const CORES_UNTOLD: f64 = 8.0;
 /// How long a note that a statement stands still for a load counts.
-const HELD_SPAN: Duration = Duration::from_secs(1);
+const NOTED_SPAN: Duration = Duration::from_secs(1);
 /// Least share of the densest workload's importance for the work, for priorities 1, 2 and 3.
 const LANES: [f64; 3] = [0.07, 0.2, 0.4];
+/// What other gateways tell of their loads counts for this long, and our own count.
+const TOLD_SPAN: Duration = Duration::from_secs(10);
+const OURS_SPAN: Duration = Duration::from_secs(60);
+const OURS: u64 = u64::MAX;
+const NOTED: u64 = u64::MAX - 1;
+/// Loads of one table group that an engine is sent at once.
+const LOADS_DEEP: u32 = 2;
 const BEAT: Duration = Duration::from_millis(50);
 const BEAT_MARK: u64 = 0;
 
@@ -187,8 +194,8 @@
     heard: Duration,
     broke: bool,
     warm_at: Duration,
-    /// Table groups that loads hold there, and until when we believe it; emptied as that passes.
-    held: BTreeMap<u64, Duration>,
+    /// Loads there by table group and who says so, and until when we believe it; emptied as that passes.
+    held: BTreeMap<(u64, u64), (u32, Duration)>,
     /// Work sent of late while cold; emptied as the rule's window passes.
     cold_sends: VecDeque<(Duration, f64)>,
 }
@@ -268,10 +275,10 @@
                 if let (Note::WaitsForLoad, Some(group), Some(at)) =
                     (note, group, self.engines.get_mut(&engine))
                 {
-                    at.held.insert(group, now + HELD_SPAN);
+                    at.held.insert((group, NOTED), (1, now + NOTED_SPAN));
                 }
             }
-            Event::Told { .. } => {}
+            Event::Told { from, message } => self.told(now, from, &message),
             Event::Timer(BEAT_MARK) => self.beat(now),
             Event::Timer(_) => {}
         }
@@ -347,6 +354,7 @@
             after.chain(self.engines.range::<Id, _>(..=&start)).map(|(id, _)| id).collect();
         if let Some(group) = stmt.table_group.filter(|_| row.terms.holds_group) {
             walk.sort_by_key(|engine| std::cmp::Reverse(home_rank(group, engine)));
+            walk.retain(|engine| self.engines[*engine].loads_of(now, group) < LOADS_DEEP);
         }
         let fit = walk
             .into_iter()
@@ -387,7 +395,7 @@
             return u32::from(over);
         }
         let group = stmt.table_group.filter(|_| terms.waits_for_group);
-        let held = group.is_some_and(|g| engine.held.get(&g).is_some_and(|until| now < *until));
+        let held = group.is_some_and(|g| engine.loads_of(now, g) > 0);
         let home = group.and_then(|g| {
             let live = self.engines.values().filter(|e| e.entry.state == EngineState::In);
             live.map(|e| &e.entry.id).max_by_key(|id| home_rank(g, id))
@@ -541,7 +549,8 @@
         let to = self.engines.get_mut(&engine).expect("the gate knows it");
         to.load += weight;
         if let Some(group) = stmt.table_group.filter(|_| row.terms.holds_group) {
-            to.held.insert(group, now + Duration::from_secs_f64(usual * 3.0));
+            let loads = to.held.get(&(group, OURS)).map_or(0, |h| h.0) + 1;
+            hold(&mut to.held, group, loads, now, self.site.may_tell, &engine, &mut self.actions);
         }
         if now < to.warm_at {
             to.cold_sends.push_back((now, work));
@@ -620,7 +629,16 @@
         if let Some(engine) = self.engines.get_mut(&ended.engine) {
             engine.load = (engine.load - weight).max(0.0);
             if let Some(group) = stmt.table_group.filter(|_| row.terms.holds_group) {
-                engine.held.remove(&group);
+                let loads = engine.held.get(&(group, OURS)).map_or(0, |h| h.0.saturating_sub(1));
+                hold(
+                    &mut engine.held,
+                    group,
+                    loads,
+                    now,
+                    self.site.may_tell,
+                    &ended.engine,
+                    &mut self.actions,
+                );
             }
             engine.judge(now, ended.outcome, pace, self.site.cold.warm_after);
         }
@@ -633,6 +651,17 @@
         self.forget(now, &ended.id);
     }
 
+    /// Another gateway's count of its loads of a table group on an engine: count, group, engine.
+    fn told(&mut self, now: Duration, from: u64, message: &[u8]) {
+        let text = String::from_utf8_lossy(message);
+        let mut parts = text.splitn(3, ' ');
+        let (count, group) = (parts.next().map(str::parse), parts.next().map(str::parse));
+        let at = parts.next().and_then(|engine| self.engines.get_mut(engine));
+        if let (Some(Ok(count)), Some(Ok(group)), Some(engine)) = (count, group, at) {
+            engine.held.insert((group, from), (count, now + TOLD_SPAN));
+        }
+    }
+
     fn hear(&mut self, now: Duration, engine: &Id) {
         if let Some(engine) = self.engines.get_mut(engine) {
             engine.heard = now;
@@ -749,7 +778,7 @@
             while engine.cold_sends.front().is_some_and(|s| s.0 + window <= now) {
                 engine.cold_sends.pop_front();
             }
-            engine.held.retain(|_, until| now < *until);
+            engine.held.retain(|_, (_, until)| now < *until);
         }
         self.engines.retain(|_, e| e.entry.state != EngineState::Gone || e.load > 0.0);
     }
@@ -808,6 +837,11 @@
         }
     }
 
+    fn loads_of(&self, now: Duration, group: u64) -> u32 {
+        let told = self.held.range((group, 0)..=(group, u64::MAX)).map(|(_, said)| said);
+        told.filter(|(_, until)| now < *until).map(|(loads, _)| loads).sum()
+    }
+
     fn spare(&self) -> bool {
         self.report.is_some_and(|(_, r)| r.utilisation.is_some_and(|u| u < SPARE_UTILISATION))
     }
@@ -861,3 +895,19 @@
     let mixed = engine.bytes().fold(seed, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
     (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
+
+/// Notes our own loads of a table group on an engine, and tells the other gateways where that is allowed.
+fn hold(
+    held: &mut BTreeMap<(u64, u64), (u32, Duration)>,
+    group: u64,
+    loads: u32,
+    now: Duration,
+    tell: bool,
+    engine: &Id,
+    actions: &mut Vec<Action>,
+) {
+    held.insert((group, OURS), (loads, now + OURS_SPAN));
+    if tell {
+        actions.push(Action::TellAll(format!("{loads} {group} {engine}").into_bytes()));
+    }
+}
