Even without pressure an engine is lent for two slices at most; time-outs are no fault

Cause: a report just under the limit let one gateway pour tens of weights into an engine before the next report.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,6 +22,7 @@
 const HELD_PER_CORE: f64 = 4.0;
 const MEM_WAITING_LIMIT: f64 = 2.0;
 /// A pace this many times the best seen, or a refusal as full so lately, is pressure.
+const OPEN_SLICES: f64 = 2.0;
 const PACE_PRESSURE: f64 = 3.0;
 const FULL_AGE: Duration = Duration::from_secs(1);
 /// Share of a mean that a new figure makes up.
@@ -375,10 +376,8 @@
         if self.closed(now, engine) {
             return false;
         }
-        if !self.pressed(now, engine) {
-            return true;
-        }
-        let capacity = self.capacity(engine);
+        let pressed = self.pressed(now, engine);
+        let capacity = self.capacity(engine) * if pressed { 1.0 } else { OPEN_SLICES };
         if weight > capacity {
             engine.load <= 0.0
         } else {
@@ -849,13 +848,16 @@
     fn judge(&mut self, now: Duration, outcome: Outcome, pace: f64, warm_after: Duration) {
         let fault = match outcome {
             Outcome::Completed => 0.0,
-            Outcome::Error | Outcome::Reset | Outcome::TimedOut => 1.0,
+            Outcome::Error | Outcome::Reset => 1.0,
             Outcome::Refused => 2.0,
             Outcome::Full => {
                 self.full_at = Some(now);
+                if let Some((_, pause)) = self.aside {
+                    self.aside = Some((now + pause, (pause * 2).min(PAUSE.1)));
+                }
                 return;
             }
-            Outcome::Cancelled | Outcome::Skipped => return,
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::Skipped => return,
         };
         self.faults = (self.faults + FAULT_LEARN * (fault - self.faults)).min(1.0);
         // A refused connection: it may come back restarted before the list says so.
