--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Threads a core that an engine is lent for, over all gateways.
-const THREADS_PER_CORE: f64 = 4.0;
+const THREADS_PER_CORE: f64 = 3.0;
 /// Bounds of the coefficient by which a statement's estimate scales its weight.
 const COEFFICIENT: (f64, f64) = (0.5, 4.0);
 /// A report counts for this long; above this utilisation it closes its engine.
@@ -22,7 +22,7 @@
 const HELD_PER_CORE: f64 = 4.0;
 const MEM_WAITING_LIMIT: f64 = 2.0;
 /// A pace this many times the best seen, or a refusal as full so lately, is pressure.
-const OPEN_SLICES: f64 = 2.0;
+const OPEN_SLICES: f64 = 1.5;
 const PACE_PRESSURE: f64 = 3.0;
 const FULL_AGE: Duration = Duration::from_secs(1);
 /// Share of a mean that a new figure makes up.
