--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,6 +55,8 @@
 const NOTED: u64 = u64::MAX - 1;
 /// Loads of one table group that an engine is sent at once.
 const LOADS_DEEP: u32 = 2;
+const HALF: f64 = 0.5;
+const ABROAD: usize = 1;
 const BEAT: Duration = Duration::from_millis(50);
 const BEAT_MARK: u64 = 0;
 
@@ -351,16 +353,17 @@
             },
         };
         let after = self.engines.range::<Id, _>((Excluded(&start), Unbounded));
-        let mut walk: Vec<&Id> =
-            after.chain(self.engines.range::<Id, _>(..=&start)).map(|(id, _)| id).collect();
-        if let Some(group) = stmt.table_group.filter(|_| row.terms.holds_group) {
-            walk.sort_by_key(|engine| std::cmp::Reverse(home_rank(group, engine)));
-            walk.retain(|engine| self.engines[*engine].loads_of(now, group) < LOADS_DEEP);
-        }
+        let walk = after.chain(self.engines.range::<Id, _>(..=&start)).map(|(id, _)| id);
+        let rank = |engine: &Id| stmt.table_group.map_or(0, |group| home_rank(group, engine));
+        let live = self.engines.values().filter(|e| e.entry.state == EngineState::In);
+        let mut ranks: Vec<u64> = live.map(|e| rank(&e.entry.id)).collect();
+        ranks.sort_unstable_by_key(|rank| std::cmp::Reverse(*rank));
         let fit = walk
-            .into_iter()
             .filter(|e| self.fits(now, stmt, e, common) && self.forbids(now, id, e).is_none())
-            .min_by_key(|e| self.objections(now, stmt, &self.engines[*e]));
+            .min_by_key(|e| {
+                let place = ranks.iter().position(|r| *r == rank(e)).unwrap_or(0);
+                self.objections(now, stmt, &self.engines[*e], place, ranks.len())
+            });
         match fit.cloned() {
             Some(engine) => self.send(now, id, engine),
             None => Input::NoRoom,
@@ -376,6 +379,11 @@
         if self.closed(now, engine) {
             return false;
         }
+        if let Some(group) = stmt.table_group.filter(|_| self.rows[stmt.workload].terms.holds_group) {
+            if engine.loads_of(now, group) >= LOADS_DEEP {
+                return false;
+            }
+        }
         let pressed = self.pressed(now, engine);
         let capacity = self.capacity(engine) * if pressed { 1.0 } else { OPEN_SLICES };
         if weight > capacity {
@@ -387,19 +395,21 @@
 
     /// Of the engines that fit, the walk takes the first with the least against it: a reader stays away from
     /// where its table group is held, then from where loads of that group go first, then from a full slice.
-    fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
+    fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine, place: usize, of: usize) -> usize {
         let terms = &self.rows[stmt.workload].terms;
         let over = engine.load + self.weight(stmt) > self.capacity(engine);
+        let half = engine.load + self.weight(stmt) > self.capacity(engine) * HALF;
         if terms.holds_group && stmt.table_group.is_some() {
-            return u32::from(over);
-        }
-        let group = stmt.table_group.filter(|_| terms.waits_for_group);
-        let held = group.is_some_and(|g| engine.loads_of(now, g) > 0);
-        let home = group.and_then(|g| {
-            let live = self.engines.values().filter(|e| e.entry.state == EngineState::In);
-            live.map(|e| &e.entry.id).max_by_key(|id| home_rank(g, id))
-        });
-        u32::from(held) * 4 + u32::from(home == Some(&engine.entry.id)) * 2 + u32::from(over)
+            return usize::from(over) * of + place;
+        }
+        let held = terms.waits_for_group && stmt.table_group.is_some_and(|g| engine.loads_of(now, g) > 0);
+        let home = terms.waits_for_group && place == 0;
+        let abroad = self.site.crossing_priced && engine.entry.zone != self.site.zone;
+        usize::from(held) * 16
+            + usize::from(home) * 8
+            + usize::from(over) * 4
+            + usize::from(half) * 2
+            + usize::from(abroad) * ABROAD
     }
 
     fn weight(&self, stmt: &Stmt) -> f64 {
