--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,6 +55,7 @@
 const NOTED: u64 = u64::MAX - 1;
 /// Loads of one table group that an engine is sent at once.
 const LOADS_DEEP: u32 = 2;
+const GRANT_MARGIN: f64 = 2.0;
 const HALF: f64 = 0.5;
 const ABROAD: usize = 1;
 const BEAT: Duration = Duration::from_millis(50);
@@ -151,6 +152,7 @@
     until: Duration,
     coefficient: f64,
     table_group: Option<u64>,
+    est_mem_mb: Option<f64>,
     executions: Vec<Execution>,
 }
 
@@ -179,6 +181,8 @@
     calm: Mean,
     /// Seconds that its work makes up on one thread.
     work: Mean,
+    /// Memory taken over the estimate.
+    mem_over: Mean,
 }
 
 #[derive(Debug)]
@@ -239,6 +243,7 @@
             estimate: Mean { value: 0.0, seen: false },
             elapsed: Mean { value: terms.slo_time.as_secs_f64() / 2.0, seen: false },
             calm: Mean { value: terms.slo_time.as_secs_f64() / 2.0, seen: false },
+            mem_over: Mean { value: 1.0, seen: false },
             work: Mean { value: terms.slo_time.as_secs_f64() * terms.threads / 2.0, seen: false },
         });
         let mut chooser = Chooser {
@@ -328,6 +333,7 @@
             until: now + new.time_left,
             coefficient,
             table_group: new.table_group,
+            est_mem_mb: new.est_mem_mb,
             executions: Vec::new(),
         };
         self.stmts.insert(new.id.clone(), stmt);
@@ -579,14 +585,27 @@
             fate: Fate::Out,
         });
         self.last = Some(engine.clone());
-        if self.site.priorities_heeded {
-            let priority = self.priority(id);
-            self.actions.push(Action::Terms { id: id.clone(), mem_mb: 0.0, priority });
+        let mem_mb = self.grant(id, &engine);
+        if self.site.priorities_heeded || mem_mb > 0.0 {
+            self.actions.push(Action::Terms { id: id.clone(), mem_mb, priority: self.priority(id) });
         }
         self.actions.push(Action::Send { id: id.clone(), engine, timeout });
         Input::Sent
     }
 
+    /// The memory to ask for: the estimate, by what it has missed by for this workload; zero is the engine's choice.
+    fn grant(&self, id: &Id, engine: &Id) -> f64 {
+        let stmt = &self.stmts[id];
+        let row = &self.rows[stmt.workload];
+        let (Some(estimate), true) = (stmt.est_mem_mb, self.site.grants_heeded && row.mem_over.seen) else {
+            return 0.0;
+        };
+        let kind = &self.engines[engine].entry.kind;
+        let mem = self.site.kinds.iter().find(|k| k.name == *kind).and_then(|k| k.mem_mb);
+        (estimate * row.mem_over.value * GRANT_MARGIN)
+            .min(mem.map_or(f64::MAX, |m| m * self.site.max_grant_share))
+    }
+
     /// Scarce cores go by importance for the work: each lane below the densest is a step down.
     fn priority(&self, id: &Id) -> u8 {
         let density = |row: &Row| row.terms.importance / row.work.value.max(1e-6);
@@ -622,6 +641,9 @@
             row.elapsed.show(elapsed / coefficient, LEARN);
             let work = ended.took.map_or(elapsed * row.terms.threads, |t| t.0.as_secs_f64());
             row.work.show(work, LEARN);
+            if let (Some((_, mem)), Some(estimate)) = (ended.took, stmt.est_mem_mb) {
+                row.mem_over.show(mem / estimate, LEARN);
+            }
             let spare = self.engines.get(&ended.engine).is_some_and(|e| e.spare());
             row.calm.show(elapsed / coefficient, if spare { LEARN } else { LEARN / 10.0 });
             pace = match ended.took {
