--- a/src/choice.rs
+++ b/src/choice.rs
@@ -137,20 +137,12 @@
                 mem_over: Mean(1.0, false),
             }
         });
+        #[rustfmt::skip]
         let mut chooser = Chooser {
-            rows: rows.collect(),
-            rng: WyRand::new_seed(seed),
-            engines: BTreeMap::new(),
-            stmts: BTreeMap::new(),
-            lines: BTreeMap::new(),
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
-            last: None,
-            list_due: site.list_is_asked.then_some(now),
-            subscribed: false,
-            list_at: now,
-            list_failed: false,
-            actions: Vec::new(),
+            rows: rows.collect(), rng: WyRand::new_seed(seed), last: None, actions: Vec::new(),
+            engines: BTreeMap::new(), stmts: BTreeMap::new(), lines: BTreeMap::new(),
+            taken: VecDeque::new(), extras: VecDeque::new(),
+            list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
             site,
         };
         chooser.beat(now);
@@ -324,7 +316,8 @@
             (Rule::Drain, to.entry.state != EngineState::In || !self.list_is_known(now)),
             (Rule::Cold, !self.cold_has_room(now, to, row)),
             (Rule::Order, !self.has_turn(now, stmt)),
-            (Rule::Placement, bound(&row.terms.zones, &to.entry.zone) || bound(&row.terms.kinds, &to.entry.kind)),
+            (Rule::Placement, bound(&row.terms.zones, &to.entry.zone)),
+            (Rule::Placement, bound(&row.terms.kinds, &to.entry.kind)),
             (Rule::Budget, tries > 0 && !self.budget_has_room(now)),
         ];
         broken.iter().find(|(_, broken)| *broken).map(|(rule, _)| *rule)
@@ -463,7 +456,7 @@
         }
         if let Some(engine) = self.engines.get_mut(&ended.engine) {
             engine.load = (engine.load - weight).max(0.0);
-            engine.judge(now, ended.outcome, pace, self.site.cold.warm_after);
+            engine.judge(now, ended.outcome, pace);
         }
         self.hold(now, &ended.engine, group, -1);
         self.drive(now, &ended.id, if ended.over { Input::Finished } else { Input::Unfinished });
@@ -649,7 +642,7 @@
         self.aside.is_none_or(|(at, _)| now >= at && self.idle() && effect != Effect::NonIdempotent)
     }
 
-    fn judge(&mut self, now: Duration, outcome: Outcome, pace: Option<f64>, warm_after: Duration) {
+    fn judge(&mut self, now: Duration, outcome: Outcome, pace: Option<f64>) {
         let fault = match outcome {
             Outcome::Completed => 0.0,
             Outcome::Error | Outcome::Reset => 1.0,
@@ -659,7 +652,6 @@
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Skipped => return,
         };
         self.faults = (self.faults + LEARN_FAULT * (fault - self.faults)).min(1.0);
-        self.refused |= outcome == Outcome::Refused;
         if outcome == Outcome::Full {
             self.full_at = Some(now);
         }
@@ -671,12 +663,7 @@
             Some((_, pause)) if outcome != Outcome::Completed => {
                 self.aside = Some((now + pause, (pause * 2).min(PAUSE.1)));
             }
-            // One that refused connections may be back from a restart that the list doesn't tell of yet.
-            Some(_) if self.faults < FAULTS_BACK => {
-                let cold = if self.refused { warm_after / 4 } else { Duration::ZERO };
-                self.warm_at = self.warm_at.max(now + cold);
-                (self.aside, self.refused) = (None, false);
-            }
+            Some(_) if self.faults < FAULTS_BACK => self.aside = None,
             _ => {}
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -65,7 +65,6 @@
     pub(crate) faults: f64,
     /// While set aside: when it may next be tried, and the pause after that.
     pub(crate) aside: Option<(Duration, Duration)>,
-    pub(crate) refused: bool,
     pub(crate) heard: Duration,
     pub(crate) warm_at: Duration,
     /// Loads there by table group and who says so, and until when that counts; emptied as it passes.
@@ -92,7 +91,6 @@
             pace: Mean(1.0, false),
             faults: 0.0,
             aside: None,
-            refused: false,
             heard: now,
             warm_at: Duration::ZERO,
             held: BTreeMap::new(),
