--- /dev/null
+++ b/crates/wirehost/tests/wire.rs
@@ -0,0 +1,60 @@
+//! The adapter as a process: odd rounds are borne, bad input ends it with one plain message.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const START: &str = r#"["powerOn","gateway-0",7,{"new":1,"balancers":1,"tickUs":5000,"profiles":[{"name":"q","promiseUs":400000,"effect":"read_like","servedOn":null}],"allowed":{"tryLimit":3},"rules":{"coldUs":1000,"tipAfterUs":1000}}]"#;
+const LIST: &str = r#"["sheet",0,[["10.0.0.1:1","z","k",0,"IN",1,null]]]"#;
+
+fn run(lines: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_bramblewharf-wirehost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all((lines.join("\n") + "\n").as_bytes()).unwrap();
+    child.wait_with_output().unwrap()
+}
+
+fn batch(lines: &[&str]) -> Output {
+    let mut all = vec![r#"["beginBatch",1000000]"#];
+    all.extend(lines);
+    all.push(r#"["overToYou"]"#);
+    run(&all)
+}
+
+#[test]
+fn odd_rounds_are_borne() {
+    let request = r#"["newRequest","gateway-0","aa","q",0,null,300000,null,0,null,0]"#;
+    let changed = r#"["backendsChanged","gateway-0","remembered",1,0]"#;
+    let (gone, alarm) = (r#"["expired","gateway-0","bb"]"#, r#"["alarm","gateway-0",99]"#);
+    let empty = r#"["sheet",0,[]]"#;
+    let out =
+        batch(&[START, r#"["destroy","gateway-0"]"#, START, LIST, changed, gone, alarm, request, empty]);
+    let text = String::from_utf8(out.stdout).unwrap();
+    assert!(out.status.success() && out.stderr.is_empty());
+    assert!(text.contains(r#"["place","gateway-0","aa","10.0.0.1:1","#), "{text}");
+    assert!(text.ends_with("[\"finished\"]\n"));
+}
+
+#[test]
+fn bad_input_ends_it_with_a_plain_message() {
+    let zero = START.replace(r#""tipAfterUs":1000"#, r#""tipAfterUs":0"#);
+    let cases: [(&[&str], &str); 8] = [
+        (&["{"], "line 2: is not a JSON array"),
+        (&["[\"alarm\"]"], "line 2: alarm: member gatewayId: null is not a text"),
+        (&[START, r#"["alarm","gateway-0","x"]"#], "line 3: alarm: member ctx: \"x\" is not a whole number"),
+        (&[START, r#"["newRequest","gateway-0","aa","other"]"#], "member grade: other is no workload"),
+        (&[START, r#"["backendsChanged","gateway-0","all",1,3]"#], "member rosterId: there is no list 3"),
+        (&[START, r#"["surprise","gateway-0"]"#], "surprise: is no event of the wire"),
+        (&[r#"["alarm","gateway-9",1]"#], "gateway-9 has not been started"),
+        (&[&zero], "member conf.rules.tipAfterUs: 0 is not a span above 0"),
+    ];
+    for (lines, message) in cases {
+        let out = batch(lines);
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && out.stdout.is_empty(), "{lines:?}");
+        assert!(said.contains(message) && said.lines().count() == 1, "{said}");
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -314,11 +314,11 @@
             (Rule::OneAnswer, stmt.state == State::Over || late || tries >= self.site.execution_limit),
             (Rule::NoDoubleEffect, !self.repeat_is_harmless(now, stmt, row, to)),
             (Rule::Drain, to.entry.state != EngineState::In || !self.list_is_known(now)),
-            (Rule::Cold, !self.cold_has_room(now, to, row)),
             (Rule::Order, !self.has_turn(now, stmt)),
             (Rule::Placement, bound(&row.terms.zones, &to.entry.zone)),
             (Rule::Placement, bound(&row.terms.kinds, &to.entry.kind)),
             (Rule::Budget, tries > 0 && !self.budget_has_room(now)),
+            (Rule::Cold, !self.cold_has_room(now, to, row)),
         ];
         broken.iter().find(|(_, broken)| *broken).map(|(rule, _)| *rule)
     }
--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,216 @@
+//! One small test for each part of the mechanism and each failure found.
+
+mod common;
+use bramblewharf::interface::*;
+use common::*;
+use Effect::*;
+
+#[test]
+fn walks_round_robin_from_the_gateways_number() {
+    let mut terms = site(vec![workload(Idempotent)]);
+    terms.gateway = 1;
+    let mut hand = Hand::new(terms, 4);
+    let seen: Vec<_> = (0..5).filter_map(|_| hand.sent(0).1).collect();
+    let want: Vec<Id> = ["e2", "e3", "e0", "e1", "e2"].map(Id::from).to_vec();
+    assert_eq!(seen, want);
+}
+
+#[test]
+fn rejects_at_once_when_no_residual_covers_and_has_room_again_after_an_outcome() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 1);
+    let mut out = Vec::new();
+    let full = loop {
+        let (id, actions) = hand.statement(0, |_| {});
+        match engine_of(&actions) {
+            Some(engine) => out.push((id, engine)),
+            None => break actions,
+        }
+        assert!(out.len() < 100, "the slice never binds");
+    };
+    assert!(rejected(&full));
+    hand.end(&out[0].0, 0, &out[0].1, Outcome::Completed);
+    assert!(hand.sent(0).1.is_some());
+    assert!(hand.sent(0).1.is_none());
+}
+
+#[test]
+fn a_busy_report_makes_the_slice_bind_sooner() {
+    let count = |utilisation| {
+        let mut hand = Hand::new(site(vec![workload(Idempotent)]), 1);
+        let (id, engine) = hand.sent(0);
+        let report = Some(Report { utilisation: Some(utilisation), ..Report::default() });
+        hand.report(id, 0, engine.unwrap(), Outcome::Completed, true, report);
+        std::iter::from_fn(|| hand.sent(0).1).take(100).count()
+    };
+    assert!(count(1.0) < count(0.3));
+}
+
+#[test]
+fn a_crowded_report_closes_until_it_is_old() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 1);
+    let (id, engine) = hand.sent(0);
+    let report = Some(Report { held: Some(1000.0), ..Report::default() });
+    hand.report(id, 0, engine.unwrap(), Outcome::Completed, true, report);
+    assert!(hand.sent(0).1.is_none());
+    hand.now += ms(1100);
+    assert!(hand.sent(0).1.is_some());
+}
+
+#[test]
+fn a_statement_heavier_than_a_capacity_goes_where_nothing_runs() {
+    let mut heavy = workload(Idempotent);
+    heavy.threads = 1000.0;
+    let mut hand = Hand::new(site(vec![heavy]), 2);
+    assert!(hand.sent(0).1.is_some() && hand.sent(0).1.is_some());
+    assert!(hand.sent(0).1.is_none());
+}
+
+#[test]
+fn a_failed_execution_goes_elsewhere_and_what_may_not_repeat_is_aborted() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent), workload(NonIdempotent)]), 3);
+    let (id, first) = hand.sent(0);
+    let first = first.unwrap();
+    let second = engine_of(&hand.end(&id, 0, &first, Outcome::Reset));
+    assert!(second.is_some_and(|second| second != first));
+    let (id, engine) = hand.sent(1);
+    let actions = hand.end(&id, 0, &engine.unwrap(), Outcome::TimedOut);
+    assert!(aborted(&actions) && engine_of(&actions).is_none());
+    let (id, engine) = hand.sent(1);
+    assert!(engine_of(&hand.end(&id, 0, &engine.unwrap(), Outcome::Refused)).is_some());
+}
+
+#[test]
+fn failing_engines_are_set_aside_and_tried_again_with_little() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 3);
+    let bad = Id::from("e1");
+    for _ in 0..40 {
+        let (id, engine) = hand.sent(0);
+        let engine = engine.unwrap();
+        let outcome = if engine == bad { Outcome::Error } else { Outcome::Completed };
+        let next = engine_of(&hand.end(&id, 0, &engine, outcome));
+        next.map(|next| hand.end(&id, 1, &next, Outcome::Completed));
+    }
+    assert!((0..20).all(|_| hand.sent(0).1.is_none_or(|engine| engine != bad)));
+    hand.now += ms(5000);
+    let tries = (0..20).filter_map(|_| hand.sent(0).1).filter(|engine| *engine == bad).count();
+    assert_eq!(tries, 1);
+}
+
+#[test]
+fn resets_spread_over_all_engines_shun_none() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 4);
+    for n in 0..200 {
+        let (id, engine) = hand.sent(0);
+        let engine = engine.expect("a healthy fleet takes all");
+        let outcome = if n % 10 == 0 { Outcome::Reset } else { Outcome::Completed };
+        let next = engine_of(&hand.end(&id, 0, &engine, outcome));
+        next.map(|next| hand.end(&id, 1, &next, Outcome::Completed));
+        hand.now += ms(10);
+    }
+    let seen: std::collections::BTreeSet<_> = (0..4).filter_map(|_| hand.sent(0).1).collect();
+    assert_eq!(seen.len(), 4);
+}
+
+#[test]
+fn when_most_engines_look_bad_none_is_shunned() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 2);
+    for _ in 0..30 {
+        let (id, engine) = hand.sent(0);
+        let mut next = engine;
+        let mut tries = 0;
+        while let Some(engine) = next {
+            next = engine_of(&hand.end(&id, tries, &engine, Outcome::Error));
+            tries += 1;
+        }
+    }
+    assert!(hand.sent(0).1.is_some());
+}
+
+#[test]
+fn a_silent_engine_is_found_and_its_work_called_back() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 3);
+    let out: Vec<_> = (0..3).map(|_| hand.sent(0)).collect();
+    let called = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Cancel { .. }));
+    for (id, engine) in out.iter().filter(|(_, e)| e.as_deref() != Some("e1")) {
+        hand.end(id, 0, engine.as_ref().unwrap(), Outcome::Completed);
+    }
+    assert!(!called(&hand.beat(100)));
+    assert!(called(&hand.beat(1500)));
+    let (id, engine) = out.iter().find(|(_, e)| e.as_deref() == Some("e1")).unwrap();
+    let again = engine_of(&hand.end(id, 0, engine.as_ref().unwrap(), Outcome::Cancelled));
+    assert!(again.is_some_and(|again| &*again != "e1"));
+}
+
+#[test]
+fn loads_of_a_table_group_gather_and_readers_keep_off() {
+    let mut load = workload(NonIdempotent);
+    load.holds_group = true;
+    let mut reader = workload(Idempotent);
+    reader.waits_for_group = true;
+    let mut hand = Hand::new(site(vec![load, reader]), 4);
+    let mut to = |w| engine_of(&hand.statement(w, |s| s.table_group = Some(9)).1).unwrap();
+    let home = to(0);
+    assert_eq!(home, to(0));
+    assert!((0..6).all(|_| to(1) != home));
+    assert_ne!(home, to(0), "a third load goes on to the next engine");
+}
+
+#[test]
+fn other_gateways_loads_count_when_told() {
+    let mut load = workload(NonIdempotent);
+    load.holds_group = true;
+    let mut terms = site(vec![load]);
+    terms.may_tell = true;
+    let (mut one, mut two) = (Hand::new(terms.clone(), 4), Hand::new(terms, 4));
+    let send = |hand: &mut Hand| hand.statement(0, |s| s.table_group = Some(9)).1;
+    let mut home = None;
+    for _ in 0..2 {
+        let actions = send(&mut one);
+        home = engine_of(&actions);
+        for action in actions {
+            if let Action::TellAll(message) = action {
+                two.event(Event::Told { from: 0, message });
+            }
+        }
+    }
+    let next = engine_of(&send(&mut two));
+    assert!(next.is_some() && next != home);
+}
+
+#[test]
+fn priorities_go_by_importance_for_the_work_and_grants_follow_what_was_told() {
+    let mut long = workload(Idempotent);
+    long.slo_time = ms(40_000);
+    let mut terms = site(vec![workload(Idempotent), long]);
+    (terms.priorities_heeded, terms.grants_heeded) = (true, true);
+    let mut hand = Hand::new(terms, 1);
+    let terms_of = |actions: &[Action]| match actions.first() {
+        Some(Action::Terms { mem_mb, priority, .. }) => (*mem_mb, *priority),
+        _ => panic!("no terms"),
+    };
+    let (id, actions) = hand.statement(0, |s| s.est_mem_mb = Some(100.0));
+    assert_eq!(terms_of(&actions), (0.0, 3));
+    assert_eq!(terms_of(&hand.statement(1, |_| {}).1).1, 0);
+    let took = Some((ms(100), 300.0));
+    let (elapsed, engine) = (ms(100), engine_of(&actions).unwrap());
+    let outcome = Outcome::Completed;
+    let ended = Ended { id, execution: 0, engine, outcome, over: true, elapsed, took, report: None };
+    hand.event(Event::Ended(ended));
+    let (granted, _) = terms_of(&hand.statement(0, |s| s.est_mem_mb = Some(100.0)).1);
+    assert!((300.0..=2048.0).contains(&granted), "granted {granted}");
+}
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
+    let mut terms = site(vec![workload(Idempotent)]);
+    (terms.list_is_asked, terms.list_ask_every) = (true, ms(2000));
+    let mut hand = Hand::new(terms, 2);
+    assert!(hand.sent(0).1.is_some());
+    hand.event(Event::Engines(ListKind::Failed, Vec::new()));
+    let asked = (0..10).any(|_| hand.beat(50).contains(&Action::Watch));
+    assert!(asked);
+    hand.now += ms(9000);
+    assert!(hand.sent(0).1.is_none(), "a list this old may hide a drain");
+    hand.event(Event::Engines(ListKind::All, vec![engine(0)]));
+    assert_eq!(hand.sent(0).1.as_deref(), Some("e0"));
+}
