--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,7 +42,7 @@
 /// Our own ration of further executions, beside any that the site states.
 const RATION: Budget = Budget { span: Duration::from_secs(5), free: 10.0, share: 0.3 };
 /// Share of what a cold engine stands that is used, and of its cores that a warm one surely works at.
-const COLD_CAUTION: f64 = 0.6;
+const COLD_CAUTION: f64 = 0.9;
 const WARM_WORK_PER_CORE: f64 = 0.75;
 const CORES_UNTOLD: f64 = 8.0;
 /// Loads of one table group that an engine is sent at once; how long a sign of them counts, by who gives it.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -55,7 +55,7 @@
 pub fn engine(n: usize) -> EngineEntry {
     EngineEntry {
         id: format!("e{n}").into(),
-        zone: if n % 2 == 0 { "a" } else { "b" }.into(),
+        zone: if n.is_multiple_of(2) { "a" } else { "b" }.into(),
         kind: if n % 3 == 2 { "k8" } else { "k4" }.into(),
         cell: n as u64 / 2,
         state: EngineState::In,
