--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -79,7 +79,7 @@
                 x.outcome.is_some_and(|(o, at)| unclear(o) && now < at + self.site.order_pause)
             };
             let open = |o: &Stmt| !o.over || o.sent.iter().any(|x| x.outcome.is_none() || rests(x));
-            if earlier.map(open).any(|open| open) {
+            if earlier.into_iter().any(open) {
                 broken.push(Rule::Order);
             }
         }
