Ten times the usual before an execution is given up

Cause: six times the usual cut many long statements that would have come in time, and their work was lost.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,7 +38,7 @@
 /// Times what an execution usually takes: unheard for so long an engine is silent; one that may be repeated
 /// is given up.
 const SILENT_TIMES: f64 = 4.0;
-const PATIENCE_TIMES: f64 = 6.0;
+const PATIENCE_TIMES: f64 = 10.0;
 /// Our own ration of further executions, beside any that the site states.
 const RATION: Budget = Budget { span: Duration::from_secs(5), free: 10.0, share: 0.3 };
 /// Share of what a cold engine stands that is used, and of its cores that a warm one surely works at.
