An engine set aside gets a trial each pause, whatever of ours still hangs there

Cause: a trial waited until nothing of ours ran there, and statements that must not run twice hang there until their client's limit. Trials now come a pause apart, doubling until one succeeds. Could hurt where a hung engine swallows the trials of a small workload.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -379,6 +379,7 @@
         let (work, group) = (row.work.0, stmt.said.table_group.filter(|_| row.terms.holds_group));
         let Some(to) = self.engines.get_mut(&engine) else { return Input::NoRoom };
         to.load += weight;
+        to.aside = to.aside.map(|(_, pause)| (now + pause, (pause * 2).min(PAUSE.1)));
         if now < to.warm_at {
             to.cold_sends.push_back((now, work));
         }
@@ -637,9 +638,9 @@
     }
 
     /// Guards against engines that fail, refuse, reset or fall silent, whatever the cause: one set aside
-    /// gets a single execution at a time, of a kind that may be repeated, once its pause is over.
+    /// gets one execution a pause, of a kind that may be repeated, and the next as soon as that has come back.
     fn may_try(&self, now: Duration, effect: Effect) -> bool {
-        self.aside.is_none_or(|(at, _)| now >= at && self.idle() && effect != Effect::NonIdempotent)
+        self.aside.is_none_or(|(at, _)| now >= at && effect != Effect::NonIdempotent)
     }
 
     fn judge(&mut self, now: Duration, outcome: Outcome, pace: Option<f64>) {
@@ -660,10 +661,9 @@
         }
         match self.aside {
             None if self.faults > FAULTS_ASIDE => self.aside = Some((now + PAUSE.0, PAUSE.0 * 2)),
-            Some((_, pause)) if outcome != Outcome::Completed => {
-                self.aside = Some((now + pause, (pause * 2).min(PAUSE.1)));
-            }
+            Some((_, pause)) if outcome != Outcome::Completed => self.aside = Some((now + pause, pause)),
             Some(_) if self.faults < FAULTS_BACK => self.aside = None,
+            Some(_) => self.aside = Some((now, PAUSE.0)),
             _ => {}
         }
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -214,3 +214,14 @@
     hand.event(Event::Engines(ListKind::All, vec![engine(0)]));
     assert_eq!(hand.sent(0).1.as_deref(), Some("e0"));
 }
+
+#[test]
+fn an_engine_set_aside_is_tried_again_though_something_of_ours_still_hangs_there() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent), workload(NonIdempotent)]), 3);
+    let hung = hand.sent(1).1.unwrap();
+    hand.beat(3000);
+    assert!((0..6).all(|_| hand.sent(0).1.is_some_and(|engine| engine != hung)));
+    hand.now += ms(1000);
+    let tries = (0..9).filter_map(|_| hand.sent(0).1).filter(|engine| *engine == hung).count();
+    assert_eq!(tries, 1);
+}
