--- a/src/choice.rs
+++ b/src/choice.rs
@@ -220,7 +220,8 @@
         }
         let first = || self.engines.keys().nth(self.site.gateway as usize % self.engines.len().max(1));
         let Some(start) = self.last.as_ref().or_else(first) else { return Input::NoRoom };
-        if stmt.executions.len() >= self.rows[stmt.said.workload].executions {
+        let ran = stmt.executions.iter().filter(|x| x.fate != Fate::NeverRan).count();
+        if ran >= self.rows[stmt.said.workload].executions {
             return Input::NoRoom;
         }
         let common = self.trouble_is_common();
