--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,6 +13,7 @@
 /// the share of a slice up to which an engine is preferred.
 const THREADS_PER_CORE: f64 = 3.0;
 const OPEN_SLICES: f64 = 1.5;
+const DENSE: f64 = 0.8;
 const HALF: f64 = 0.5;
 /// Bounds of the coefficient by which a statement's estimate scales its weight.
 const COEFFICIENT: (f64, f64) = (0.5, 4.0);
@@ -229,16 +230,9 @@
             .engines
             .range::<Id, _>((Excluded(start), Unbounded))
             .chain(self.engines.range::<Id, _>(..=start));
-        let rank = |engine: &Id| stmt.said.table_group.map_or(0, |group| home_rank(group, engine));
-        let live = self.engines.values().filter(|e| e.entry.state == EngineState::In);
-        let mut ranks: Vec<u64> = live.map(|e| rank(&e.entry.id)).collect();
-        ranks.sort_unstable_by_key(|rank| std::cmp::Reverse(*rank));
         let fit = walk
             .filter(|(to, e)| self.fits(now, stmt, e, common) && self.forbids(now, id, to).is_none())
-            .min_by_key(|(to, e)| {
-                let place = ranks.iter().position(|r| *r == rank(to)).unwrap_or(0);
-                self.objections(now, stmt, e, place, ranks.len())
-            });
+            .min_by_key(|(_, e)| self.objections(now, stmt, e));
         match fit.map(|(to, _)| to.clone()) {
             Some(engine) => self.send(now, id, engine),
             None => Input::NoRoom,
@@ -256,27 +250,19 @@
             return false;
         }
         let (weight, slices) = (self.weight(stmt), if engine.pressed(now) { 1.0 } else { OPEN_SLICES });
-        let capacity = self.capacity(engine) * slices;
+        let capacity = self.capacity(engine) * slices * (DENSE + (1.0 - DENSE) * self.density(stmt).min(1.0));
         engine.load + weight <= capacity || (weight > capacity && engine.idle())
     }
 
-    /// What speaks against an engine that fits. A load goes to the engine that ranks first for its table
-    /// group, the same at every gateway; a reader that would wait keeps off held groups and off there.
-    fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine, place: usize, of: usize) -> usize {
-        let terms = &self.rows[stmt.said.workload].terms;
+    /// What speaks against an engine that fits: least another location where crossing is priced, most a load
+    /// that holds the table group, for a reader that would stand still.
+    fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
         let used = (engine.load + self.weight(stmt)) / self.capacity(engine);
-        if terms.holds_group && stmt.said.table_group.is_some() {
-            return usize::from(used > 1.0) * of + place;
-        }
-        let group = stmt.said.table_group.filter(|_| terms.waits_for_group);
-        let against = [
-            self.site.crossing_priced && engine.entry.zone != self.site.zone,
-            used > HALF,
-            used > 1.0,
-            group.is_some() && place == 0,
-            group.is_some_and(|group| engine.loads_of(now, group) > 0),
-        ];
-        against.iter().enumerate().map(|(bit, holds)| usize::from(*holds) << bit).sum()
+        let waits = self.rows[stmt.said.workload].terms.waits_for_group;
+        let held = stmt.said.table_group.is_some_and(|group| waits && engine.loads_of(now, group) > 0);
+        let abroad = self.site.crossing_priced && engine.entry.zone != self.site.zone;
+        let against = [abroad, used > HALF, used > 1.0, held];
+        against.iter().enumerate().map(|(bit, holds)| u32::from(*holds) << bit).sum()
     }
 
     fn weight(&self, stmt: &Stmt) -> f64 {
@@ -414,10 +400,15 @@
 
     /// Scarce cores go by importance for the work.
     fn priority(&self, stmt: &Stmt) -> u8 {
+        let share = self.density(stmt);
+        LANES.iter().filter(|least| share >= **least).count() as u8
+    }
+
+    /// Importance for the work, of that of the densest workload.
+    fn density(&self, stmt: &Stmt) -> f64 {
         let density = |row: &Row| row.terms.importance / row.work.0.max(1e-6);
         let top = self.rows.iter().map(density).fold(f64::MIN_POSITIVE, f64::max);
-        let share = density(&self.rows[stmt.said.workload]) / stmt.coefficient / top;
-        LANES.iter().filter(|least| share >= **least).count() as u8
+        density(&self.rows[stmt.said.workload]) / stmt.coefficient / top
     }
 
     fn ended(&mut self, now: Duration, ended: Ended) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,10 +107,3 @@
         signs.filter(|(_, until)| now < *until).map(|(loads, _)| loads).sum()
     }
 }
-
-/// Ranks engines for a table group, the same at every gateway.
-pub(crate) fn home_rank(group: u64, engine: &Id) -> u64 {
-    let seed = group.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0xcbf2_9ce4_8422_2325;
-    let mixed = engine.bytes().fold(seed, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
