An engine that turns all away as full is set aside, though it looks empty

Cause: a hung engine with all its sessions held refuses at once, so nothing of ours ran there, its slice looked open and every walk preferred it; each refusal also counted as a sign of life. Told from a busy engine by its steady refusals with no completion between them. A refusal as full is now a fault and no sign of life. Should also hold against leaked sessions and connection limits; could hurt where every engine is at its session limit, where the common-cause rule then lets all be tried.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -413,7 +413,7 @@
 
     fn ended(&mut self, now: Duration, ended: Ended) {
         use Outcome::*;
-        if !matches!(ended.outcome, TimedOut | Refused | Cancelled | Skipped) {
+        if matches!(ended.outcome, Completed | Error | Reset) {
             self.hear(now, &ended.engine);
         }
         if let (Some(report), Some(engine)) = (ended.report, self.engines.get_mut(&ended.engine)) {
@@ -638,10 +638,9 @@
     fn judge(&mut self, now: Duration, outcome: Outcome, pace: Option<f64>) {
         let fault = match outcome {
             Outcome::Completed => 0.0,
-            Outcome::Error | Outcome::Reset => 1.0,
+            // A hung engine whose sessions are all held turns away at once and so looks empty to us.
+            Outcome::Error | Outcome::Reset | Outcome::Full => 1.0,
             Outcome::Refused => 2.0,
-            // No fault by itself, but one set aside that is full waits for its next pause.
-            Outcome::Full => self.faults,
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Skipped => return,
         };
         self.faults = (self.faults + LEARN_FAULT * (fault - self.faults)).min(1.0);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -232,3 +232,18 @@
     let tries = (0..9).filter_map(|_| hand.sent(0).1).filter(|engine| *engine == hung).count();
     assert_eq!(tries, 1);
 }
+
+#[test]
+fn an_engine_that_turns_all_away_as_full_is_set_aside_though_it_looks_empty() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 4);
+    let mut tries = 0;
+    for _ in 0..60 {
+        let (id, engine) = hand.sent(0);
+        let full = engine.as_deref() == Some("e1");
+        tries += u32::from(full);
+        let outcome = if full { Outcome::Full } else { Outcome::Completed };
+        let next = engine_of(&hand.end(&id, 0, &engine.unwrap(), outcome));
+        next.map(|next| hand.end(&id, 1, &next, Outcome::Completed));
+    }
+    assert!(tries < 6, "{tries} executions went to an engine that takes none");
+}
