A workload's work is taken from engines with room, where answers do not tell it

Cause: without a told cost the work was elapsed time by threads under load, so the cold gate counted each statement too heavy. Told from overload by the cold engines' idle reports. Could hurt where usual times are learned on warm engines only: they read less than a cold one.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -441,7 +441,7 @@
             row.elapsed.show(elapsed / coefficient, LEARN);
             row.calm.show(elapsed / coefficient, if spare { LEARN } else { LEARN / 10.0 });
             let took = ended.took.map(|(work, _)| work.as_secs_f64()).filter(|work| *work > 0.0);
-            row.work.show(took.unwrap_or(elapsed * row.terms.threads), LEARN);
+            row.work.show(took.unwrap_or(row.calm.0 * row.terms.threads), LEARN);
             pace = Some(elapsed / took.map_or(row.calm.0 * coefficient, |work| work / row.terms.threads));
             if let (Some((_, mem)), Some(estimate)) = (ended.took, stmt.said.est_mem_mb) {
                 row.mem_over.show(mem / estimate, LEARN);
