--- a/src/choice.rs
+++ b/src/choice.rs
@@ -630,7 +630,7 @@
     }
 
     /// Guards against engines that fail, refuse, reset or fall silent, whatever the cause: one set aside
-    /// gets one execution a pause, of a kind that may be repeated, and the next as soon as that has come back.
+    /// gets one execution a pause, of a kind that may be repeated, the next as soon as that is back well.
     fn may_try(&self, now: Duration, effect: Effect) -> bool {
         self.aside.is_none_or(|(at, _)| now >= at && effect != Effect::NonIdempotent)
     }
