Where a slice is a crumb, the load is what the engine tells

Now, where a slice is less than the heaviest workload's threads, capacity is the whole engine's and load is what it told last, with ours since, ageing to what engines tell of late and that to open. Without held statements, 90% utilisation times the pace stands for a full engine.

--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -151,7 +151,7 @@
         "fromPeer" => {
             let text = line.text(3, "msg")?;
             let message = STANDARD.decode(text).map_err(|e| line.fault(&format!("member msg: {e}")))?;
-            Event::Told { from: line.whole(2, "author")?, message }
+            told(line.whole(2, "author")?, &message).unwrap_or(Event::Nothing)
         }
         "signal" => {
             let x = line.maybe(4, |l| l.number(4, "x"))?.unwrap_or(0.0);
@@ -179,6 +179,13 @@
     })
 }
 
+/// Messages between gateways are ours: a count, a table group and an engine. Others are passed over.
+fn told(from: u64, message: &[u8]) -> Option<Event> {
+    let mut parts = std::str::from_utf8(message).ok()?.splitn(3, ' ');
+    let (loads, group) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
+    Some(Event::Told { from, loads, group, engine: parts.next()?.into() })
+}
+
 fn report(line: &Line, at: usize, names: &Names) -> Result<Option<Report>, String> {
     if line.any(at).is_null() {
         return Ok(None);
@@ -247,7 +254,9 @@
         Action::Abort { id } => json!(["reportFailure", gateway, **id]),
         Action::Timer { mark, delay } => json!(["after", gateway, mark, micros(delay)]),
         Action::Watch => json!(["listen", gateway, true]),
-        Action::TellAll(message) => json!(["say", gateway, "all", STANDARD.encode(message)]),
+        Action::Tell { loads, group, engine } => {
+            json!(["say", gateway, "all", STANDARD.encode(format!("{loads} {group} {engine}"))])
+        }
     }
     .to_string()
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,11 +10,15 @@
 use std::time::Duration;
 
 /// Threads a core that all gateways together lend of an engine; slices each may lend while no pressure shows;
-/// the share of a slice up to which an engine is preferred.
+/// steps of a capacity by which emptier engines are preferred.
 const THREADS_PER_CORE: f64 = 3.0;
 const OPEN_SLICES: f64 = 1.5;
 const DENSE: f64 = 0.8;
-const HALF: f64 = 0.5;
+const STEPS: f64 = 2.0;
+/// Where slices are crumbs: the steps, seconds in which an engine's word ages, and the most that a pace counts.
+const WHOLE_STEPS: f64 = 8.0;
+const WORD_AGE: f64 = 3.0;
+const WORST_PACE: f64 = 4.0;
 /// Bounds of the coefficient by which a statement's estimate scales its weight.
 const COEFFICIENT: (f64, f64) = (0.5, 4.0);
 /// How long a report counts; statements held a core, and waiting for memory, that close an engine.
@@ -48,6 +52,7 @@
 const CORES_UNTOLD: f64 = 8.0;
 /// Loads of one table group that an engine is sent at once; how long a sign of them counts, by who gives it.
 const LOADS_DEEP: u32 = 2;
+const LOAD_HOMES: u64 = 4;
 const NOTED: (u64, Duration) = (u64::MAX - 1, Duration::from_secs(1));
 const OURS: (u64, Duration) = (u64::MAX, Duration::from_secs(60));
 const TOLD_SPAN: Duration = Duration::from_secs(10);
@@ -88,19 +93,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rule { OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget }
 
-/// What differs by workload: a row each, made at the start.
-struct Row {
-    terms: WorkloadTerms,
-    executions: usize,
-    estimate: Mean,
-    /// Seconds that an execution with coefficient 1 takes: of late, and on an engine with room.
-    elapsed: Mean,
-    calm: Mean,
-    /// Seconds that its work makes up on one thread, and memory it takes over the estimate.
-    work: Mean,
-    mem_over: Mean,
-}
-
 pub struct Chooser {
     site: Site,
     rng: WyRand,
@@ -114,6 +106,10 @@
     taken: VecDeque<Duration>,
     extras: VecDeque<Duration>,
     last: Option<Id>,
+    /// Whether a slice is less than the heaviest workload weighs; threads a core that engines tell of late.
+    crumbs: bool,
+    usual_told: Mean,
+    told_at: Duration,
     /// Where the list must be asked for: when next (none while an answer is due or we are subscribed),
     /// whether subscribed, when it was last had, and whether the last call failed.
     list_due: Option<Duration>,
@@ -131,6 +127,7 @@
             Row {
                 terms: terms.clone(),
                 executions: executions_by_importance(terms.importance / top, site.execution_limit),
+                taken: 1e-6,
                 estimate: Mean(0.0, false),
                 elapsed: Mean(guess, false),
                 calm: Mean(guess, false),
@@ -138,11 +135,16 @@
                 mem_over: Mean(1.0, false),
             }
         });
+        let cores = site.kinds.iter().filter_map(|k| k.cores).fold(0.0, f64::max);
+        let slice = if cores > 0.0 { cores } else { CORES_UNTOLD } * THREADS_PER_CORE
+            / f64::from(site.gateways.max(1));
+        let crumbs = site.workloads.iter().any(|w| w.threads > slice);
         #[rustfmt::skip]
         let mut chooser = Chooser {
             rows: rows.collect(), rng: WyRand::new_seed(seed), last: None, actions: Vec::new(),
             engines: BTreeMap::new(), stmts: BTreeMap::new(), lines: BTreeMap::new(),
             taken: VecDeque::new(), extras: VecDeque::new(),
+            crumbs, usual_told: Mean(0.0, false), told_at: now,
             list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
             site,
         };
@@ -150,7 +152,6 @@
         let first = std::mem::take(&mut chooser.actions);
         (chooser, first)
     }
-
     pub fn event(&mut self, now: Duration, event: Event) -> Vec<Action> {
         match event {
             Event::Engines(kind, entries) => self.list(now, kind, entries),
@@ -169,13 +170,16 @@
                     at.held.insert((group, NOTED.0), (1, now + NOTED.1));
                 }
             }
-            Event::Told { from, message } => self.told(now, from, &message),
+            Event::Told { from, loads, group, engine } => {
+                if let Some(at) = self.engines.get_mut(&engine) {
+                    at.held.insert((group, from), (loads, now + TOLD_SPAN));
+                }
+            }
             Event::Timer(BEAT_MARK) => self.beat(now),
-            Event::Timer(_) => {}
+            Event::Timer(_) | Event::Nothing => {}
         }
         std::mem::take(&mut self.actions)
     }
-
     /// The loop that reads `LIFE`: an effect may give the next input.
     fn drive(&mut self, now: Duration, id: &Id, input: Input) {
         let mut next = Some(input);
@@ -191,10 +195,10 @@
             }
         }
     }
-
     fn take(&mut self, now: Duration, said: NewStatement) {
         self.taken.push_back(now);
         let Some(row) = self.rows.get_mut(said.workload) else { return };
+        row.taken += 1.0;
         let coefficient = said.est_work.map_or(1.0, |estimate| {
             row.estimate.show(estimate.as_secs_f64(), LEARN);
             (estimate.as_secs_f64() / row.estimate.0).clamp(COEFFICIENT.0, COEFFICIENT.1)
@@ -208,7 +212,6 @@
         self.stmts.insert(id.clone(), stmt);
         self.drive(now, &id, Input::Turn);
     }
-
     /// The mechanism: round-robin from one past the last choice, to the first engine that fits; where some
     /// have less against them, to the first of those.
     fn choose(&mut self, now: Duration, id: &Id) -> Input {
@@ -238,7 +241,6 @@
             None => Input::NoRoom,
         }
     }
-
     /// The residual covers the weight; one heavier than a whole capacity goes where nothing of ours runs.
     fn fits(&self, now: Duration, stmt: &Stmt, engine: &Engine, common: bool) -> bool {
         let terms = &self.rows[stmt.said.workload].terms;
@@ -249,44 +251,56 @@
         if engine.closed(now) || !(common || engine.may_try(now, terms.effect)) {
             return false;
         }
-        let (weight, slices) = (self.weight(stmt), if engine.pressed(now) { 1.0 } else { OPEN_SLICES });
-        let capacity = self.capacity(engine) * slices * (DENSE + (1.0 - DENSE) * self.density(stmt).min(1.0));
-        engine.load + weight <= capacity || (weight > capacity && engine.idle())
+        let slices = if engine.pressed(now) || self.crumbs { 1.0 } else { OPEN_SLICES };
+        let (load, capacity, weight) = (self.load(now, engine), self.capacity(engine), self.weight(stmt));
+        let capacity = capacity * slices * (DENSE + (1.0 - DENSE) * self.density(stmt).min(1.0));
+        load + weight <= capacity || (weight > capacity && engine.idle())
+    }
+    /// What runs there: ours, or where slices are crumbs what the engine told, as that ages, and ours since.
+    fn load(&self, now: Duration, engine: &Engine) -> f64 {
+        if !self.crumbs {
+            return engine.load;
+        }
+        let fresh = |at| (-(now - at).as_secs_f64() / WORD_AGE).exp();
+        let usual = self.usual_told.0 * fresh(self.told_at);
+        let told = engine.told.map_or(usual, |(at, told)| usual + (told - usual) * fresh(at));
+        (told * engine.cores + engine.since).max(engine.load)
     }
-
     /// What speaks against an engine that fits: least another location where crossing is priced, most a load
     /// that holds the table group, for a reader that would stand still.
     fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
-        let used = (engine.load + self.weight(stmt)) / self.capacity(engine);
+        let used = (self.load(now, engine) + self.weight(stmt)) / self.capacity(engine);
+        let steps = (used * if self.crumbs { WHOLE_STEPS } else { STEPS }).ceil().clamp(0.0, 99.0) as u32;
         let waits = self.rows[stmt.said.workload].terms.waits_for_group;
-        let held = stmt.said.table_group.is_some_and(|group| waits && engine.loads_of(now, group) > 0);
+        let terms = &self.rows[stmt.said.workload].terms;
+        let held = stmt.said.table_group.is_some_and(|group| {
+            let home = self.crumbs && mix(group, &engine.entry.id).is_multiple_of(LOAD_HOMES);
+            waits && (home || engine.loads_of(now, group) > 0) || self.crumbs && terms.holds_group && !home
+        });
         let abroad = self.site.crossing_priced && engine.entry.zone != self.site.zone;
-        let against = [abroad, used > HALF, used > 1.0, held];
-        against.iter().enumerate().map(|(bit, holds)| u32::from(*holds) << bit).sum()
+        u32::from(held) * 1000 + steps * 2 + u32::from(abroad)
     }
-
     fn weight(&self, stmt: &Stmt) -> f64 {
         self.rows[stmt.said.workload].terms.threads * stmt.coefficient
     }
-
     fn capacity(&self, engine: &Engine) -> f64 {
+        if self.crumbs {
+            return engine.cores * THREADS_PER_CORE;
+        }
         engine.cores * THREADS_PER_CORE / f64::from(self.site.gateways.max(1))
     }
-
     /// When half the engines or more look bad, the cause is taken as common and none is shunned.
     fn trouble_is_common(&self) -> bool {
         let live = self.engines.values().filter(|e| e.entry.state == EngineState::In);
         let (all, aside) = live.fold((0, 0), |(n, a), e| (n + 1, a + usize::from(e.aside.is_some())));
         aside * 2 >= all
     }
-
     fn has_turn(&self, now: Duration, stmt: &Stmt) -> bool {
         let ordered = self.rows[stmt.said.workload].terms.ordered;
         let key = stmt.said.key.as_ref().filter(|_| ordered);
         let Some(line) = key.and_then(|key| self.lines.get(key)) else { return true };
         line.stmts.front() == Some(&stmt.said.id) && (now >= line.rest_until || !stmt.executions.is_empty())
     }
-
     /// The gate: the rule, if any, that forbids sending this statement to this engine now.
     pub fn forbids(&self, now: Duration, id: &Id, engine: &Id) -> Option<Rule> {
         let (Some(stmt), Some(to)) = (self.stmts.get(id), self.engines.get(engine)) else {
@@ -309,7 +323,6 @@
         ];
         broken.iter().find(|(_, broken)| *broken).map(|(rule, _)| *rule)
     }
-
     fn repeat_is_harmless(&self, now: Duration, stmt: &Stmt, row: &Row, to: &Engine) -> bool {
         let near = |x: &Execution, group| match group {
             DedupGroup::All => true,
@@ -324,13 +337,11 @@
                 Effect::Deduplicated(group) => now < x.sent + row.terms.dedup_span && near(x, group),
             })
     }
-
     /// Where the list must be asked for, one that is too old may hide a drain.
     fn list_is_known(&self, now: Duration) -> bool {
         let span = self.site.list_ask_every * if self.list_failed { 4 } else { 1 };
         !self.site.list_is_asked || self.subscribed || now < self.list_at + span
     }
-
     /// This gateway's share of what a cold engine stands, in the window before now.
     fn cold_has_room(&self, now: Duration, to: &Engine, row: &Row) -> bool {
         let cold = &self.site.cold;
@@ -339,7 +350,6 @@
             to.cores * WARM_WORK_PER_CORE * cold.capacity * cold.multiple * cold.window.as_secs_f64();
         now >= to.warm_at || sent + row.work.0 <= stands * COLD_CAUTION / f64::from(self.site.gateways.max(1))
     }
-
     /// On the very edge of its span a further execution still counts, a statement taken no longer does.
     fn budget_has_room(&self, now: Duration) -> bool {
         let within = |budget: &Budget| {
@@ -349,7 +359,6 @@
         };
         within(&RATION) && self.site.budget.as_ref().is_none_or(within)
     }
-
     /// The only place that sends, and it asks the gate.
     fn send(&mut self, now: Duration, id: &Id, engine: Id) -> Input {
         if self.forbids(now, id, &engine).is_some() {
@@ -366,6 +375,7 @@
         let (work, group) = (row.work.0, stmt.said.table_group.filter(|_| row.terms.holds_group));
         let Some(to) = self.engines.get_mut(&engine) else { return Input::NoRoom };
         to.load += weight;
+        to.since += weight;
         to.aside = to.aside.map(|(_, pause)| (now + pause, (pause * 2).min(PAUSE.1)));
         if now < to.warm_at {
             to.cold_sends.push_back((now, work));
@@ -386,7 +396,6 @@
         self.actions.push(Action::Send { id: id.clone(), engine, timeout });
         Input::Sent
     }
-
     /// The memory to ask for: the estimate by what it has missed by; zero leaves it to the engine.
     fn grant(&self, stmt: &Stmt, engine: &Id) -> f64 {
         let over = &self.rows[stmt.said.workload].mem_over;
@@ -397,20 +406,17 @@
         let mem = self.site.kinds.iter().find(|k| k.name == *kind).and_then(|k| k.mem_mb);
         (estimate * over.0 * GRANT_MARGIN).min(mem.unwrap_or(f64::MAX) * self.site.max_grant_share)
     }
-
     /// Scarce cores go by importance for the work.
     fn priority(&self, stmt: &Stmt) -> u8 {
         let share = self.density(stmt);
         LANES.iter().filter(|least| share >= **least).count() as u8
     }
-
     /// Importance for the work, of that of the densest workload.
     fn density(&self, stmt: &Stmt) -> f64 {
         let density = |row: &Row| row.terms.importance / row.work.0.max(1e-6);
         let top = self.rows.iter().map(density).fold(f64::MIN_POSITIVE, f64::max);
         density(&self.rows[stmt.said.workload]) / stmt.coefficient / top
     }
-
     fn ended(&mut self, now: Duration, ended: Ended) {
         use Outcome::*;
         if matches!(ended.outcome, Completed | Error | Reset) {
@@ -447,42 +453,47 @@
                 row.mem_over.show(mem / estimate, LEARN);
             }
         }
+        let a_thread = self.usual_threads();
         if let Some(engine) = self.engines.get_mut(&ended.engine) {
             engine.load = (engine.load - weight).max(0.0);
+            if matches!(ended.outcome, Full | TimedOut) {
+                (engine.told, engine.since) = (Some((now, WORST_PACE * THREADS_PER_CORE)), 0.0);
+            } else if let Some(report) = ended.report {
+                let held = report.held.map(|held| held * a_thread / engine.cores);
+                let busy = report.utilisation.map(|u| {
+                    u / PRESSED_UTILISATION * THREADS_PER_CORE * pace.unwrap_or(1.0).clamp(1.0, WORST_PACE)
+                });
+                if let Some(told) = held.or(busy) {
+                    (engine.told, engine.since) = (Some((now, told)), 0.0);
+                    self.usual_told.show(told, LEARN_PACE);
+                    self.told_at = now;
+                }
+            }
             engine.judge(now, ended.outcome, pace);
         }
         self.hold(now, &ended.engine, group, -1);
         self.drive(now, &ended.id, if ended.over { Input::Finished } else { Input::Unfinished });
         self.forget(now, &ended.id);
     }
-
+    /// Threads of a statement that runs, on average: those that take long count more.
+    fn usual_threads(&self) -> f64 {
+        let sum = |of: fn(&Row) -> f64| self.rows.iter().map(of).sum::<f64>();
+        sum(|r| r.taken * r.elapsed.0 * r.terms.threads) / sum(|r| r.taken * r.elapsed.0).max(1e-9)
+    }
     fn hear(&mut self, now: Duration, engine: &Id) {
         if let Some(engine) = self.engines.get_mut(engine) {
             engine.heard = now;
         }
     }
-
     /// Counts our loads of a table group on an engine, and tells the other gateways where that is allowed.
     fn hold(&mut self, now: Duration, id: &Id, group: Option<u64>, change: i32) {
         let (Some(group), Some(engine)) = (group, self.engines.get_mut(id)) else { return };
         let held = engine.held.entry((group, OURS.0)).or_default();
         *held = (held.0.saturating_add_signed(change), now + OURS.1);
-        if self.site.may_tell {
-            self.actions.push(Action::TellAll(format!("{} {group} {id}", held.0).into_bytes()));
-        }
-    }
-
-    /// Another gateway's count of its loads of a table group on an engine.
-    fn told(&mut self, now: Duration, from: u64, message: &[u8]) {
-        let text = String::from_utf8_lossy(message);
-        let mut parts = text.splitn(3, ' ');
-        let (loads, group) = (parts.next().map(str::parse), parts.next().map(str::parse));
-        let engine = parts.next().and_then(|id| self.engines.get_mut(id));
-        if let (Some(Ok(loads)), Some(Ok(group)), Some(engine)) = (loads, group, engine) {
-            engine.held.insert((group, from), (loads, now + TOLD_SPAN));
+        if self.site.may_tell && !self.crumbs {
+            self.actions.push(Action::Tell { loads: held.0, group, engine: id.clone() });
         }
     }
-
     /// The final answer, at once: a rejection where harmless, with advice when to return, else an abort.
     fn give_up(&mut self, now: Duration, id: &Id) {
         let stmt = &self.stmts[id];
@@ -496,7 +507,6 @@
         self.actions.push(answer);
         self.close(now, id);
     }
-
     /// The statement is over: what still runs for it is called off.
     fn close(&mut self, now: Duration, id: &Id) {
         let out = self.stmts[id].executions.iter().enumerate().filter(|(_, x)| x.fate == Fate::Out);
@@ -504,7 +514,6 @@
         self.actions.extend(calls.filter(|_| self.site.may_cancel));
         self.forget(now, id);
     }
-
     fn forget(&mut self, now: Duration, id: &Id) {
         if self.stmts.get(id).is_none_or(|s| s.state != State::Over || s.out()) {
             return;
@@ -516,7 +525,6 @@
             self.drive(now, &next, Input::Turn);
         }
     }
-
     fn list(&mut self, now: Duration, kind: ListKind, entries: Vec<EngineEntry>) {
         if kind == ListKind::Failed {
             (self.list_failed, self.subscribed) = (true, false);
@@ -548,7 +556,6 @@
             engine.entry = entry;
         }
     }
-
     fn beat(&mut self, now: Duration) {
         self.actions.push(Action::Timer { mark: BEAT_MARK, delay: BEAT });
         if self.list_due.is_some_and(|due| now >= due) {
@@ -578,7 +585,6 @@
         }
         self.engines.retain(|_, e| e.entry.state != EngineState::Gone || !e.idle());
     }
-
     /// Guards against engines that take work and answer nothing (hung, vanished, cut off): set aside, and
     /// what may be repeated is called back to go elsewhere. Could hurt where all that runs there is long.
     fn call_back_silent(&mut self, now: Duration) {
@@ -618,7 +624,6 @@
             now < at + REPORT_AGE && (waits || report.held.is_some_and(|h| h > CLOSED_HELD * self.cores))
         })
     }
-
     /// The slice binds while this holds; without it, `OPEN_SLICES` do.
     fn pressed(&self, now: Duration) -> bool {
         let reported = self.report.is_some_and(|(_, report)| {
@@ -628,13 +633,11 @@
         let full = self.full_at.is_some_and(|at| now < at + FULL_AGE);
         reported || full || self.pace.0 > PRESSED_PACE || now < self.warm_at
     }
-
     /// Guards against engines that fail, refuse, reset or fall silent, whatever the cause: one set aside
     /// gets one execution a pause, of a kind that may be repeated, the next as soon as that is back well.
     fn may_try(&self, now: Duration, effect: Effect) -> bool {
         self.aside.is_none_or(|(at, _)| now >= at && effect != Effect::NonIdempotent)
     }
-
     fn judge(&mut self, now: Duration, outcome: Outcome, pace: Option<f64>) {
         let fault = match outcome {
             Outcome::Completed => 0.0,
@@ -660,6 +663,14 @@
     }
 }
 
+/// A number that all gateways get from the same two: FNV-1a over both.
+fn mix(number: u64, id: &Id) -> u64 {
+    let bytes = number.to_le_bytes().into_iter().chain(id.bytes());
+    let hash =
+        bytes.fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+    hash ^ hash >> 32
+}
+
 /// How many executions a statement may have: two for the least important, the site's limit for the most.
 fn executions_by_importance(share: f64, limit: usize) -> usize {
     let most = limit.max(1) as f64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -186,20 +186,61 @@
     Statement(NewStatement),
     ClientGone(Id),
     Ended(Ended),
-    Answering { id: Id, execution: usize, engine: Id },
-    Noted { id: Id, execution: usize, engine: Id, note: Note },
-    Told { from: u64, message: Vec<u8> },
+    Answering {
+        id: Id,
+        execution: usize,
+        engine: Id,
+    },
+    Noted {
+        id: Id,
+        execution: usize,
+        engine: Id,
+        note: Note,
+    },
+    /// Another gateway's count of its loads of a table group on an engine.
+    Told {
+        from: u64,
+        loads: u32,
+        group: u64,
+        engine: Id,
+    },
+    /// A message that cannot be read; nothing is owed for it.
+    Nothing,
     Timer(u64),
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Send { id: Id, engine: Id, timeout: Duration },
-    Terms { id: Id, mem_mb: f64, priority: u8 },
-    Cancel { id: Id, execution: usize },
-    Reject { id: Id, retry_in: Option<Duration> },
-    Abort { id: Id },
-    Timer { mark: u64, delay: Duration },
+    Send {
+        id: Id,
+        engine: Id,
+        timeout: Duration,
+    },
+    Terms {
+        id: Id,
+        mem_mb: f64,
+        priority: u8,
+    },
+    Cancel {
+        id: Id,
+        execution: usize,
+    },
+    Reject {
+        id: Id,
+        retry_in: Option<Duration>,
+    },
+    Abort {
+        id: Id,
+    },
+    Timer {
+        mark: u64,
+        delay: Duration,
+    },
     Watch,
-    TellAll(Vec<u8>),
+    /// To all other gateways: this one's count of its loads of a table group on an engine.
+    Tell {
+        loads: u32,
+        group: u64,
+        engine: Id,
+    },
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,10 +54,27 @@
     }
 }
 
+/// What differs by workload: a row each, made at the start.
+pub(crate) struct Row {
+    pub(crate) terms: WorkloadTerms,
+    pub(crate) executions: usize,
+    pub(crate) taken: f64,
+    pub(crate) estimate: Mean,
+    /// Seconds that an execution with coefficient 1 takes: of late, and on an engine with room.
+    pub(crate) elapsed: Mean,
+    pub(crate) calm: Mean,
+    /// Seconds that its work makes up on one thread, and memory it takes over the estimate.
+    pub(crate) work: Mean,
+    pub(crate) mem_over: Mean,
+}
+
 pub(crate) struct Engine {
     pub(crate) entry: EngineEntry,
     pub(crate) cores: f64,
     pub(crate) load: f64,
+    /// When the engine last told how full it is, in threads a core; what we have sent there since.
+    pub(crate) told: Option<(Duration, f64)>,
+    pub(crate) since: f64,
     pub(crate) report: Option<(Duration, Report)>,
     pub(crate) full_at: Option<Duration>,
     /// How many times the usual its executions take.
@@ -86,6 +103,8 @@
             entry,
             cores: 0.0,
             load: 0.0,
+            told: None,
+            since: 0.0,
             report: None,
             full_at: None,
             pace: Mean(1.0, false),
