A cold engine's share goes whole to one gateway a window, by turns

Where slices are crumbs, this gateway's share of what a cold engine stands was less than a statement, so a third of the fleet stayed empty until warm after a mass restart. The turn follows from the engine's id, the time since its start and the gateway's number, so nothing is agreed; a sliding window meets two turns, so a turn has half.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -270,6 +270,7 @@
     /// that holds the table group, for a reader that would stand still.
     fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
         let used = (self.load(now, engine) + self.weight(stmt)) / self.capacity(engine);
+        let used = if self.crumbs && now < engine.warm_at { 0.0 } else { used };
         let steps = (used * if self.crumbs { WHOLE_STEPS } else { STEPS }).ceil().clamp(0.0, 99.0) as u32;
         let waits = self.rows[stmt.said.workload].terms.waits_for_group;
         let terms = &self.rows[stmt.said.workload].terms;
@@ -342,13 +343,18 @@
         let span = self.site.list_ask_every * if self.list_failed { 4 } else { 1 };
         !self.site.list_is_asked || self.subscribed || now < self.list_at + span
     }
-    /// This gateway's share of what a cold engine stands, in the window before now.
+    /// This gateway's share of what a cold engine stands, in the window before now. Where slices are crumbs
+    /// one gateway at a time has it, by turns of a window each; a window meets two turns, so a turn has half.
     fn cold_has_room(&self, now: Duration, to: &Engine, row: &Row) -> bool {
         let cold = &self.site.cold;
         let sent = to.cold_sends.iter().filter(|s| s.0 + cold.window >= now).map(|s| s.1).sum::<f64>();
         let stands =
             to.cores * WARM_WORK_PER_CORE * cold.capacity * cold.multiple * cold.window.as_secs_f64();
-        now >= to.warm_at || sent + row.work.0 <= stands * COLD_CAUTION / f64::from(self.site.gateways.max(1))
+        let gateways = u64::from(self.site.gateways.max(1));
+        let slot = now.saturating_sub(to.entry.started).as_nanos() / cold.window.as_nanos().max(1);
+        let turn = mix(slot as u64, &to.entry.id) % gateways == u64::from(self.site.gateway);
+        let share = if self.crumbs { f64::from(u8::from(turn)) / 2.0 } else { 1.0 / gateways as f64 };
+        now >= to.warm_at || sent + row.work.0 <= stands * COLD_CAUTION * share
     }
     /// On the very edge of its span a further execution still counts, a statement taken no longer does.
     fn budget_has_room(&self, now: Duration) -> bool {
