Where held statements are told, capacity shrinks as executions take longer than calm

Latency well above its best now binds there: capacity is divided by the mean pace over 1.5. Where only utilisation is told the pace is already in the told load.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,6 +18,7 @@
 /// Where slices are crumbs: the steps, seconds in which an engine's word ages, and the most that a pace counts.
 const WHOLE_STEPS: f64 = 8.0;
 const WORD_AGE: f64 = 3.0;
+const OPEN_PACE: f64 = 1.5;
 const WORST_PACE: f64 = 4.0;
 /// Bounds of the coefficient by which a statement's estimate scales its weight.
 const COEFFICIENT: (f64, f64) = (0.5, 4.0);
@@ -110,6 +111,7 @@
     crumbs: bool,
     usual_told: Mean,
     told_at: Duration,
+    usual_pace: Mean,
     /// Where the list must be asked for: when next (none while an answer is due or we are subscribed),
     /// whether subscribed, when it was last had, and whether the last call failed.
     list_due: Option<Duration>,
@@ -144,7 +146,7 @@
             rows: rows.collect(), rng: WyRand::new_seed(seed), last: None, actions: Vec::new(),
             engines: BTreeMap::new(), stmts: BTreeMap::new(), lines: BTreeMap::new(),
             taken: VecDeque::new(), extras: VecDeque::new(),
-            crumbs, usual_told: Mean(0.0, false), told_at: now,
+            crumbs, usual_told: Mean(0.0, false), told_at: now, usual_pace: Mean(1.0, false),
             list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
             site,
         };
@@ -286,7 +288,7 @@
     }
     fn capacity(&self, engine: &Engine) -> f64 {
         if self.crumbs {
-            return engine.cores * THREADS_PER_CORE;
+            return engine.cores * THREADS_PER_CORE / (self.usual_pace.0 / OPEN_PACE).max(1.0);
         }
         engine.cores * THREADS_PER_CORE / f64::from(self.site.gateways.max(1))
     }
@@ -460,6 +462,9 @@
             }
         }
         let a_thread = self.usual_threads();
+        if let Some(pace) = pace.filter(|_| ended.report.is_some_and(|r| r.held.is_some())) {
+            self.usual_pace.show(pace.min(2.0 * WORST_PACE), LEARN_PACE);
+        }
         if let Some(engine) = self.engines.get_mut(&ended.engine) {
             engine.load = (engine.load - weight).max(0.0);
             if matches!(ended.outcome, Full | TimedOut) {
