Statements already too late for their SLO time fill a fifth of a capacity only

Lateness is the longest time left seen of the workload less this one's; where less than the SLO time is left, the client set its own limit and it counts as fresh. Also holds where a front holds statements back; could hurt where clients' limits vary widely within a workload.

--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -222,6 +222,7 @@
         importance: row.number("gain", 1.0)?,
         slo_time: row.span("promiseUs")?,
         slo_stretch: row.number("aimStretch", 0.0)?,
+        late_value: row.number("lateValue", 0.0)?,
         effect: match row.text("effect", "non_idempotent")? {
             "read_like" => Effect::Idempotent,
             "idempotency_key" => Effect::Deduplicated(group),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,6 +14,7 @@
 const THREADS_PER_CORE: f64 = 3.0;
 const OPEN_SLICES: f64 = 1.5;
 const DENSE: f64 = 0.8;
+const LATE: f64 = 0.2;
 const STEPS: f64 = 2.0;
 /// Where slices are crumbs: the steps, seconds in which an engine's word ages, and the most that a pace counts.
 const WHOLE_STEPS: f64 = 8.0;
@@ -130,6 +131,7 @@
                 terms: terms.clone(),
                 executions: executions_by_importance(terms.importance / top, site.execution_limit),
                 taken: 1e-6,
+                longest_left: Duration::ZERO,
                 estimate: Mean(0.0, false),
                 elapsed: Mean(guess, false),
                 calm: Mean(guess, false),
@@ -205,12 +207,18 @@
             row.estimate.show(estimate.as_secs_f64(), LEARN);
             (estimate.as_secs_f64() / row.estimate.0).clamp(COEFFICIENT.0, COEFFICIENT.1)
         });
+        row.longest_left = row.longest_left.max(said.time_left);
+        let age = (row.longest_left - said.time_left).as_secs_f64();
+        let usual = row.calm.0 * coefficient;
+        let slo = row.terms.slo_time.as_secs_f64() + row.terms.slo_stretch * usual;
+        let late = said.time_left.as_secs_f64() > slo && age + usual > slo;
+        let worth = if late { row.terms.late_value } else { 1.0 };
         let id = said.id.clone();
         if let Some(key) = said.key.clone().filter(|_| row.terms.ordered) {
             self.lines.entry(key).or_default().stmts.push_back(id.clone());
         }
         let until = now + said.time_left;
-        let stmt = Stmt { state: State::Waiting, said, until, coefficient, executions: Vec::new() };
+        let stmt = Stmt { state: State::Waiting, said, until, coefficient, worth, executions: Vec::new() };
         self.stmts.insert(id.clone(), stmt);
         self.drive(now, &id, Input::Turn);
     }
@@ -255,7 +263,10 @@
         }
         let slices = if engine.pressed(now) || self.crumbs { 1.0 } else { OPEN_SLICES };
         let (load, capacity, weight) = (self.load(now, engine), self.capacity(engine), self.weight(stmt));
-        let capacity = capacity * slices * (DENSE + (1.0 - DENSE) * self.density(stmt).min(1.0));
+        let capacity = capacity
+            * slices
+            * (DENSE + (1.0 - DENSE) * self.density(stmt).min(1.0))
+            * stmt.worth.max(LATE);
         load + weight <= capacity || (weight > capacity && engine.idle())
     }
     /// What runs there: ours, or where slices are crumbs what the engine told, as that ages, and ours since.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -28,6 +28,8 @@
     pub slo_time: Duration,
     /// The SLO time grows by this times a statement's work over its threads.
     pub slo_stretch: f64,
+    /// Share of the importance that an answer after the SLO time still has.
+    pub late_value: f64,
     pub effect: Effect,
     /// How long the group remembers a deduplicated statement.
     pub dedup_span: Duration,
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
     pub(crate) said: NewStatement,
     pub(crate) until: Duration,
     pub(crate) coefficient: f64,
+    /// Share of its importance that it can still earn.
+    pub(crate) worth: f64,
     pub(crate) executions: Vec<Execution>,
 }
 
@@ -59,6 +61,7 @@
     pub(crate) terms: WorkloadTerms,
     pub(crate) executions: usize,
     pub(crate) taken: f64,
+    pub(crate) longest_left: Duration,
     pub(crate) estimate: Mean,
     /// Seconds that an execution with coefficient 1 takes: of late, and on an engine with room.
     pub(crate) elapsed: Mean,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,7 +12,7 @@
 #[rustfmt::skip]
 pub fn workload(effect: Effect) -> WorkloadTerms {
     WorkloadTerms {
-        threads: 1.0, importance: 1.0, slo_time: ms(400), slo_stretch: 0.0, effect,
+        threads: 1.0, importance: 1.0, slo_time: ms(400), slo_stretch: 0.0, late_value: 0.0, effect,
         dedup_span: ms(2000), zones: None, kinds: None, ordered: false, holds_group: false,
         waits_for_group: false,
     }
