Own sends since a report count for the root of the gateways; fresh statements by a quartile

A gateway's own sends since an engine's word now stand for as many as the square root of the gateways. Lateness was misjudged where a second try has more time than a first one; what a fresh one may take is now the upper quartile.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,15 +23,10 @@
 const WORST_PACE: f64 = 4.0;
 /// Bounds of the coefficient by which a statement's estimate scales its weight.
 const COEFFICIENT: (f64, f64) = (0.5, 4.0);
-/// How long a report counts; statements held a core, and waiting for memory, that close an engine.
-const REPORT_AGE: Duration = Duration::from_secs(1);
-const CLOSED_HELD: f64 = 4.0;
-const CLOSED_MEM_WAITING: f64 = 2.0;
-/// Pressure: a busy or crowded report, a pace (times the usual), a refusal as full this lately.
+/// Pressure: a busy or crowded report (statements held a core, any that wait for memory), a pace.
 const PRESSED_UTILISATION: f64 = 0.9;
 const PRESSED_HELD: f64 = 1.5;
 const PRESSED_PACE: f64 = 3.0;
-const FULL_AGE: Duration = Duration::from_secs(1);
 /// Below this utilisation an execution shows what is usual on an engine with room.
 const SPARE_UTILISATION: f64 = 0.7;
 /// Share of a mean that a new figure makes up: for a workload, for an engine's pace and for its faults.
@@ -68,11 +63,9 @@
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Input { Turn, Sent, NotItsTurn, NoRoom, Unfinished, Answering, Finished, OutOfTime }
-
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step { Rest, Choose, GiveUp, Close }
-
 /// A statement's life: state, input, next state, effect. A pair that is not listed changes nothing.
 #[rustfmt::skip]
 const LIFE: &[(State, Input, State, Step)] = &[
@@ -89,12 +82,10 @@
     (State::Streaming, Input::Finished,   State::Over,      Step::Close),
     (State::Streaming, Input::Unfinished, State::Over,      Step::GiveUp),
 ];
-
 /// The seven rules, as reasons against a send.
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rule { OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget }
-
 pub struct Chooser {
     site: Site,
     rng: WyRand,
@@ -131,7 +122,7 @@
                 terms: terms.clone(),
                 executions: executions_by_importance(terms.importance / top, site.execution_limit),
                 taken: 1e-6,
-                longest_left: Duration::ZERO,
+                fresh_left: Mean(0.0, true),
                 estimate: Mean(0.0, false),
                 elapsed: Mean(guess, false),
                 calm: Mean(guess, false),
@@ -207,11 +198,13 @@
             row.estimate.show(estimate.as_secs_f64(), LEARN);
             (estimate.as_secs_f64() / row.estimate.0).clamp(COEFFICIENT.0, COEFFICIENT.1)
         });
-        row.longest_left = row.longest_left.max(said.time_left);
-        let age = (row.longest_left - said.time_left).as_secs_f64();
+        let left = said.time_left.as_secs_f64();
+        row.fresh_left.show(row.fresh_left.0 * if left > row.fresh_left.0 { 1.15 } else { 0.95 }, LEARN);
+        row.fresh_left.0 = if row.taken > 1.5 { row.fresh_left.0 } else { left };
+        let age = row.fresh_left.0 - left;
         let usual = row.calm.0 * coefficient;
         let slo = row.terms.slo_time.as_secs_f64() + row.terms.slo_stretch * usual;
-        let late = said.time_left.as_secs_f64() > slo && age + usual > slo;
+        let late = left > slo && age + usual > slo;
         let worth = if late { row.terms.late_value } else { 1.0 };
         let id = said.id.clone();
         if let Some(key) = said.key.clone().filter(|_| row.terms.ordered) {
@@ -258,15 +251,13 @@
         if group.is_some_and(|group| engine.loads_of(now, group) >= LOADS_DEEP) {
             return false;
         }
-        if engine.closed(now) || !(common || engine.may_try(now, terms.effect)) {
+        if !(common || engine.may_try(now, terms.effect)) {
             return false;
         }
         let slices = if engine.pressed(now) || self.crumbs { 1.0 } else { OPEN_SLICES };
         let (load, capacity, weight) = (self.load(now, engine), self.capacity(engine), self.weight(stmt));
-        let capacity = capacity
-            * slices
-            * (DENSE + (1.0 - DENSE) * self.density(stmt).min(1.0))
-            * stmt.worth.max(LATE);
+        let capacity =
+            capacity * slices * (DENSE + (1.0 - DENSE) * self.density(stmt).min(1.0)) * stmt.worth.max(LATE);
         load + weight <= capacity || (weight > capacity && engine.idle())
     }
     /// What runs there: ours, or where slices are crumbs what the engine told, as that ages, and ours since.
@@ -277,7 +268,7 @@
         let fresh = |at| (-(now - at).as_secs_f64() / WORD_AGE).exp();
         let usual = self.usual_told.0 * fresh(self.told_at);
         let told = engine.told.map_or(usual, |(at, told)| usual + (told - usual) * fresh(at));
-        (told * engine.cores + engine.since).max(engine.load)
+        (told * engine.cores + engine.since * f64::from(self.site.gateways).sqrt()).max(engine.load)
     }
     /// What speaks against an engine that fits: least another location where crossing is priced, most a load
     /// that holds the table group, for a reader that would stand still.
@@ -503,9 +494,7 @@
         sum(|r| r.taken * r.elapsed.0 * r.terms.threads) / sum(|r| r.taken * r.elapsed.0).max(1e-9)
     }
     fn hear(&mut self, now: Duration, engine: &Id) {
-        if let Some(engine) = self.engines.get_mut(engine) {
-            engine.heard = now;
-        }
+        self.engines.get_mut(engine).into_iter().for_each(|engine| engine.heard = now);
     }
     /// Counts our loads of a table group on an engine, and tells the other gateways where that is allowed.
     fn hold(&mut self, now: Duration, id: &Id, group: Option<u64>, change: i32) {
@@ -639,21 +628,14 @@
 }
 
 impl Engine {
-    /// A fresh report of a crowded engine closes it; one not heard of is open.
-    fn closed(&self, now: Duration) -> bool {
-        self.report.is_some_and(|(at, report)| {
-            let waits = report.mem_waiting.is_some_and(|w| w > CLOSED_MEM_WAITING);
-            now < at + REPORT_AGE && (waits || report.held.is_some_and(|h| h > CLOSED_HELD * self.cores))
-        })
-    }
     /// The slice binds while this holds; without it, `OPEN_SLICES` do.
     fn pressed(&self, now: Duration) -> bool {
         let reported = self.report.is_some_and(|(_, report)| {
             report.utilisation.is_some_and(|u| u > PRESSED_UTILISATION)
                 || report.held.is_some_and(|h| h > PRESSED_HELD * self.cores)
+                || report.mem_waiting.is_some_and(|w| w > 0.0)
         });
-        let full = self.full_at.is_some_and(|at| now < at + FULL_AGE);
-        reported || full || self.pace.0 > PRESSED_PACE || now < self.warm_at
+        reported || self.pace.0 > PRESSED_PACE || now < self.warm_at
     }
     /// Guards against engines that fail, refuse, reset or fall silent, whatever the cause: one set aside
     /// gets one execution a pause, of a kind that may be repeated, the next as soon as that is back well.
@@ -669,9 +651,6 @@
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Skipped => return,
         };
         self.faults = (self.faults + LEARN_FAULT * (fault - self.faults)).min(1.0);
-        if outcome == Outcome::Full {
-            self.full_at = Some(now);
-        }
         if let Some(pace) = pace {
             self.pace.show(pace, LEARN_PACE);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,7 +61,8 @@
     pub(crate) terms: WorkloadTerms,
     pub(crate) executions: usize,
     pub(crate) taken: f64,
-    pub(crate) longest_left: Duration,
+    /// Seconds that a fresh statement may take: the upper quartile of what they come with.
+    pub(crate) fresh_left: Mean,
     pub(crate) estimate: Mean,
     /// Seconds that an execution with coefficient 1 takes: of late, and on an engine with room.
     pub(crate) elapsed: Mean,
@@ -79,7 +80,6 @@
     pub(crate) told: Option<(Duration, f64)>,
     pub(crate) since: f64,
     pub(crate) report: Option<(Duration, Report)>,
-    pub(crate) full_at: Option<Duration>,
     /// How many times the usual its executions take.
     pub(crate) pace: Mean,
     pub(crate) faults: f64,
@@ -109,7 +109,6 @@
             told: None,
             since: 0.0,
             report: None,
-            full_at: None,
             pace: Mean(1.0, false),
             faults: 0.0,
             aside: None,
