--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -232,3 +232,84 @@
     }
     assert!(tries < 6, "{tries} executions went to an engine that takes none");
 }
+
+/// A site where a slice is less than one statement.
+fn crowd(gateways: u32, effect: Effect) -> Site {
+    Site { gateways, ..site(vec![workload(effect)]) }
+}
+
+fn told(hand: &mut Hand, id: &Id, engine: &Id, report: Report) {
+    let end = ended(id, 0, engine, Outcome::Completed);
+    hand.event(Event::Ended(Ended { report: Some(report), ..end }));
+}
+
+#[test]
+fn where_a_slice_is_a_crumb_the_load_is_what_the_engine_tells_and_that_ages() {
+    let mut hand = Hand::new(crowd(100, Idempotent), 1);
+    let room = |hand: &mut Hand, held: f64| {
+        let (id, engine) = hand.sent(0);
+        told(
+            hand,
+            &id,
+            &engine.expect("an engine not heard of is open"),
+            Report { held: Some(held), ..Report::default() },
+        );
+    };
+    room(&mut hand, 1.0);
+    assert!(hand.sent(0).1.is_some(), "an engine that tells of room has room");
+    room(&mut hand, 100.0);
+    assert!(rejected(&hand.statement(0, |_| {}).1), "a full engine is told full");
+    hand.now += ms(20_000);
+    let (id, engine) = hand.sent(0);
+    let engine = engine.expect("what was told so long ago no longer counts");
+    hand.end(&id, 0, &engine, Outcome::Full);
+    assert!(hand.sent(0).1.is_none(), "a refusal as full tells of a full engine");
+}
+
+#[test]
+fn gateways_do_not_all_fill_the_gap_that_one_report_shows() {
+    let sends = |gateways| {
+        let mut hand = Hand::new(crowd(gateways, Idempotent), 1);
+        let (id, engine) = hand.sent(0);
+        told(&mut hand, &id, &engine.unwrap(), Report { held: Some(2.0), ..Report::default() });
+        std::iter::from_fn(|| hand.sent(0).1).take(50).count()
+    };
+    assert!(sends(400) < sends(30));
+}
+
+#[test]
+fn all_gateways_together_never_push_a_cold_engine_over_and_yet_use_it() {
+    let terms = crowd(40, Idempotent);
+    let cold = terms.cold.clone();
+    let mut hands: Vec<_> = (0..40).map(|gateway| Hand::new(Site { gateway, ..terms.clone() }, 1)).collect();
+    let started = hands[0].now;
+    let mut sends = Vec::new();
+    for hand in &mut hands {
+        let entry = EngineEntry { started, ..engine(0) };
+        hand.event(Event::Engines(ListKind::Changes, vec![entry]));
+    }
+    for _ in 0..90 {
+        for hand in &mut hands {
+            hand.now += ms(100);
+            if let (id, Some(engine)) = hand.sent(0) {
+                sends.push(hand.now);
+                hand.end(&id, 0, &engine, Outcome::Completed);
+            }
+        }
+    }
+    let stands = 4.0 * 0.85 * cold.capacity * cold.multiple * cold.window.as_secs_f64();
+    let most = sends.iter().map(|at| sends.iter().filter(|s| **s <= *at && **s + cold.window >= *at).count());
+    let most = most.max().unwrap_or(0) as f64 * 0.1;
+    assert!(most <= stands, "{most} of {stands}");
+    assert!(sends.len() > 9, "only {} sends in nine seconds", sends.len());
+}
+
+#[test]
+fn a_statement_already_too_late_gives_way() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 1);
+    let takes = |hand: &mut Hand, left| engine_of(&hand.statement(0, |s| s.time_left = ms(left)).1).is_some();
+    assert!((0..6).all(|_| takes(&mut hand, 4000)));
+    assert!(!takes(&mut hand, 2000), "its SLO time has passed");
+    assert!(takes(&mut hand, 300), "a client that set a short limit itself is not late");
+    assert!(takes(&mut hand, 4000));
+}
