--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -254,8 +254,9 @@
         Action::Abort { id } => json!(["reportFailure", gateway, **id]),
         Action::Timer { mark, delay } => json!(["after", gateway, mark, micros(delay)]),
         Action::Watch => json!(["listen", gateway, true]),
-        Action::Tell { loads, group, engine } => {
-            json!(["say", gateway, "all", STANDARD.encode(format!("{loads} {group} {engine}"))])
+        Action::Tell { to, loads, group, engine } => {
+            let to = to.map_or(json!("all"), |peer| json!(peer));
+            json!(["say", gateway, to, STANDARD.encode(format!("{loads} {group} {engine}"))])
         }
     }
     .to_string()
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,14 +10,13 @@
 use std::time::Duration;
 
 /// Threads a core that all gateways together lend of an engine; slices each may lend while no pressure shows;
-/// steps of a capacity by which emptier engines are preferred.
+/// the share of it that any statement may fill, the least where it is late; steps by which emptier go first.
 const THREADS_PER_CORE: f64 = 3.0;
 const OPEN_SLICES: f64 = 1.5;
 const DENSE: f64 = 0.8;
 const LATE: f64 = 0.2;
 const STEPS: f64 = 2.0;
-/// Where slices are crumbs: the steps, seconds in which an engine's word ages, and the most that a pace counts.
-const WHOLE_STEPS: f64 = 8.0;
+/// Where slices are crumbs: seconds in which an engine's word ages, the pace that shrinks capacity, the most.
 const WORD_AGE: f64 = 3.0;
 const OPEN_PACE: f64 = 1.5;
 const WORST_PACE: f64 = 4.0;
@@ -47,11 +46,13 @@
 const COLD_CAUTION: f64 = 0.9;
 const WARM_WORK_PER_CORE: f64 = 0.75;
 const CORES_UNTOLD: f64 = 8.0;
-/// Loads of one table group that an engine is sent at once; how long a sign of them counts, by who gives it.
+/// Loads of a table group that an engine is sent at once, engines for each at home, gateways told of one;
+/// how long a sign of them counts, by who gives it.
 const LOADS_DEEP: u32 = 2;
-const LOAD_HOMES: u64 = 4;
+const LOAD_HOMES: u64 = 2;
 const NOTED: (u64, Duration) = (u64::MAX - 1, Duration::from_secs(1));
 const OURS: (u64, Duration) = (u64::MAX, Duration::from_secs(60));
+const TELL_MOST: u32 = 64;
 const TOLD_SPAN: Duration = Duration::from_secs(10);
 /// Least share of the densest workload's importance for the work, for priorities 1, 2 and 3.
 const LANES: [f64; 3] = [0.07, 0.2, 0.4];
@@ -112,7 +113,6 @@
     list_failed: bool,
     actions: Vec<Action>,
 }
-
 impl Chooser {
     pub fn start(site: Site, seed: u64, now: Duration) -> (Chooser, Vec<Action>) {
         let top = site.workloads.iter().map(|w| w.importance).fold(f64::MIN_POSITIVE, f64::max);
@@ -122,7 +122,7 @@
                 terms: terms.clone(),
                 executions: executions_by_importance(terms.importance / top, site.execution_limit),
                 taken: 1e-6,
-                fresh_left: Mean(0.0, true),
+                fresh_left: Mean(0.0, false),
                 estimate: Mean(0.0, false),
                 elapsed: Mean(guess, false),
                 calm: Mean(guess, false),
@@ -199,9 +199,9 @@
             (estimate.as_secs_f64() / row.estimate.0).clamp(COEFFICIENT.0, COEFFICIENT.1)
         });
         let left = said.time_left.as_secs_f64();
-        row.fresh_left.show(row.fresh_left.0 * if left > row.fresh_left.0 { 1.15 } else { 0.95 }, LEARN);
-        row.fresh_left.0 = if row.taken > 1.5 { row.fresh_left.0 } else { left };
-        let age = row.fresh_left.0 - left;
+        let fresh = if row.fresh_left.1 { row.fresh_left.0 } else { left };
+        row.fresh_left.show(fresh * if left > fresh { 1.15 } else { 0.95 }, LEARN);
+        let age = fresh - left;
         let usual = row.calm.0 * coefficient;
         let slo = row.terms.slo_time.as_secs_f64() + row.terms.slo_stretch * usual;
         let late = left > slo && age + usual > slo;
@@ -248,10 +248,8 @@
     fn fits(&self, now: Duration, stmt: &Stmt, engine: &Engine, common: bool) -> bool {
         let terms = &self.rows[stmt.said.workload].terms;
         let group = stmt.said.table_group.filter(|_| terms.holds_group);
-        if group.is_some_and(|group| engine.loads_of(now, group) >= LOADS_DEEP) {
-            return false;
-        }
-        if !(common || engine.may_try(now, terms.effect)) {
+        let crowded = group.is_some_and(|group| engine.loads_of(now, group) >= LOADS_DEEP);
+        if crowded || !(common || engine.may_try(now, terms.effect)) {
             return false;
         }
         let slices = if engine.pressed(now) || self.crumbs { 1.0 } else { OPEN_SLICES };
@@ -275,12 +273,12 @@
     fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
         let used = (self.load(now, engine) + self.weight(stmt)) / self.capacity(engine);
         let used = if self.crumbs && now < engine.warm_at { 0.0 } else { used };
-        let steps = (used * if self.crumbs { WHOLE_STEPS } else { STEPS }).ceil().clamp(0.0, 99.0) as u32;
-        let waits = self.rows[stmt.said.workload].terms.waits_for_group;
+        let steps = (used * STEPS).ceil().clamp(0.0, 99.0) as u32;
         let terms = &self.rows[stmt.said.workload].terms;
         let held = stmt.said.table_group.is_some_and(|group| {
             let home = self.crumbs && mix(group, &engine.entry.id).is_multiple_of(LOAD_HOMES);
-            waits && (home || engine.loads_of(now, group) > 0) || self.crumbs && terms.holds_group && !home
+            terms.waits_for_group && (home || engine.loads_of(now, group) > 0)
+                || self.crumbs && terms.holds_group && !home
         });
         let abroad = self.site.crossing_priced && engine.entry.zone != self.site.zone;
         u32::from(held) * 1000 + steps * 2 + u32::from(abroad)
@@ -501,8 +499,13 @@
         let (Some(group), Some(engine)) = (group, self.engines.get_mut(id)) else { return };
         let held = engine.held.entry((group, OURS.0)).or_default();
         *held = (held.0.saturating_add_signed(change), now + OURS.1);
-        if self.site.may_tell && !self.crumbs {
-            self.actions.push(Action::Tell { loads: held.0, group, engine: id.clone() });
+        let (loads, others) = (held.0, self.site.gateways.saturating_sub(1));
+        let tell = |to| Action::Tell { to, loads, group, engine: id.clone() };
+        if self.site.may_tell && others <= TELL_MOST {
+            self.actions.push(tell(None));
+        } else if self.site.may_tell {
+            let told = (0..TELL_MOST).map(|_| tell(Some(self.rng.generate_range(0..=others))));
+            self.actions.extend(told);
         }
     }
     /// The final answer, at once: a rejection where harmless, with advice when to return, else an abort.
@@ -569,8 +572,7 @@
     }
     fn beat(&mut self, now: Duration) {
         self.actions.push(Action::Timer { mark: BEAT_MARK, delay: BEAT });
-        if self.list_due.is_some_and(|due| now >= due) {
-            self.list_due = None;
+        if self.list_due.take_if(|due| now >= *due).is_some() {
             self.actions.push(Action::Watch);
         }
         self.call_back_silent(now);
@@ -613,12 +615,11 @@
                 engine.aside = Some((now + PAUSE.0, PAUSE.0 * 2));
             }
         }
-        if !self.site.may_cancel || self.trouble_is_common() {
-            return;
-        }
+        let called = self.site.may_cancel && !self.trouble_is_common();
         for stmt in self.stmts.values().filter(running) {
             let row = &self.rows[stmt.said.workload];
-            let again = row.terms.effect == Effect::Idempotent && stmt.executions.len() < row.executions;
+            let more = called && stmt.executions.len() < row.executions;
+            let again = more && row.terms.effect == Effect::Idempotent;
             let out = stmt.executions.iter().enumerate().filter(|(_, x)| x.fate == Fate::Out);
             for (execution, _) in out.filter(|(_, x)| again && found.contains(&x.engine)) {
                 self.actions.push(Action::Cancel { id: stmt.said.id.clone(), execution });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -241,6 +241,7 @@
     Watch,
     /// To all other gateways: this one's count of its loads of a table group on an engine.
     Tell {
+        to: Option<u32>,
         loads: u32,
         group: u64,
         engine: Id,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -163,7 +163,7 @@
     let send = |hand: &mut Hand| hand.statement(0, |s| s.table_group = Some(9)).1;
     for _ in 0..8 {
         for action in send(&mut one) {
-            if let Action::Tell { loads, group, engine } = action {
+            if let Action::Tell { loads, group, engine, .. } = action {
                 two.event(Event::Told { from: 0, loads, group, engine });
             }
         }
