--- a/src/choice.rs
+++ b/src/choice.rs
@@ -260,7 +260,7 @@
     }
     /// What runs there: ours, or where slices are crumbs what the engine told, as that ages, and ours since.
     fn load(&self, now: Duration, engine: &Engine) -> f64 {
-        if !self.crumbs {
+        if !self.crumbs || now < engine.warm_at {
             return engine.load;
         }
         let fresh = |at| (-(now - at).as_secs_f64() / WORD_AGE).exp();
@@ -272,7 +272,6 @@
     /// that holds the table group, for a reader that would stand still.
     fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
         let used = (self.load(now, engine) + self.weight(stmt)) / self.capacity(engine);
-        let used = if self.crumbs && now < engine.warm_at { 0.0 } else { used };
         let steps = (used * STEPS).ceil().clamp(0.0, 99.0) as u32;
         let terms = &self.rows[stmt.said.workload].terms;
         let held = stmt.said.table_group.is_some_and(|group| {
