At full size any statement fills seven tenths of a capacity, the rest goes by importance

What engines tell is rougher than a gateway's own count, so more is kept for what is worth most for its work.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 /// Threads a core that all gateways together lend of an engine; slices each may lend while no pressure shows;
-/// the share of it that any statement may fill, the least where it is late; steps by which emptier go first.
+/// the share that any statement may fill (less where slices are crumbs), the least where late; preferred steps.
 const THREADS_PER_CORE: f64 = 3.0;
 const OPEN_SLICES: f64 = 1.5;
-const DENSE: f64 = 0.8;
+const DENSE: (f64, f64) = (0.8, 0.7);
 const LATE: f64 = 0.2;
 const STEPS: f64 = 2.0;
 /// Where slices are crumbs: seconds in which an engine's word ages, the pace that shrinks capacity, the most.
@@ -252,10 +252,11 @@
         if crowded || !(common || engine.may_try(now, terms.effect)) {
             return false;
         }
+        let dense = if self.crumbs { DENSE.1 } else { DENSE.0 };
         let slices = if engine.pressed(now) || self.crumbs { 1.0 } else { OPEN_SLICES };
         let (load, capacity, weight) = (self.load(now, engine), self.capacity(engine), self.weight(stmt));
         let capacity =
-            capacity * slices * (DENSE + (1.0 - DENSE) * self.density(stmt).min(1.0)) * stmt.worth.max(LATE);
+            capacity * slices * (dense + (1.0 - dense) * self.density(stmt).min(1.0)) * stmt.worth.max(LATE);
         load + weight <= capacity || (weight > capacity && engine.idle())
     }
     /// What runs there: ours, or where slices are crumbs what the engine told, as that ages, and ours since.
