--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Threads a core that all gateways together lend of an engine; slices each may lend while no pressure shows;
-/// the share that any statement may fill (less where slices are crumbs), the least where late; preferred steps.
+/// the share any statement may fill (less where slices are crumbs), the least where late; preferred steps.
 const THREADS_PER_CORE: f64 = 3.0;
 const OPEN_SLICES: f64 = 1.5;
 const DENSE: (f64, f64) = (0.8, 0.7);
