--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -233,7 +233,6 @@
     assert!(tries < 6, "{tries} executions went to an engine that takes none");
 }
 
-/// A site where a slice is less than one statement.
 fn crowd(gateways: u32, effect: Effect) -> Site {
     Site { gateways, ..site(vec![workload(effect)]) }
 }
@@ -261,8 +260,7 @@
     assert!(rejected(&hand.statement(0, |_| {}).1), "a full engine is told full");
     hand.now += ms(20_000);
     let (id, engine) = hand.sent(0);
-    let engine = engine.expect("what was told so long ago no longer counts");
-    hand.end(&id, 0, &engine, Outcome::Full);
+    hand.end(&id, 0, &engine.expect("what was told so long ago no longer counts"), Outcome::Full);
     assert!(hand.sent(0).1.is_none(), "a refusal as full tells of a full engine");
 }
 
