--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,189 @@
+//! The one place where the configuration is read, checked and given defaults. Each message names the key.
+
+use crate::names::{known, Known};
+use bramblewharf::interface::Site;
+use bramblewharf_site::Names;
+use serde_json::Value;
+use std::env;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Where gateways hear one another.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    pub listen: SocketAddr,
+    /// One a gateway, in the order of their numbers, our own among them.
+    pub each: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+}
+
+/// The most that is held of anything, worked out from `limits`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Connections of clients, and of ours to engines.
+    pub clients: usize,
+    pub engines: usize,
+    /// Statements held at once.
+    pub stmts: usize,
+    /// Bytes of a statement, of a page and of a whole result; pages of a result.
+    pub statement: usize,
+    pub page: usize,
+    pub result: usize,
+    pub pages: usize,
+}
+
+/// All that a gateway is started with.
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub bounds: Bounds,
+    pub peers: Option<Peers>,
+    pub names: Option<SocketAddr>,
+    pub known: Known,
+    pub site: Site,
+    pub words: Names,
+    /// Connections to engines: not established by then, never; closed by the engine after idling so long.
+    pub dial_timeout: Duration,
+    pub engine_idle: Duration,
+    /// How long statements that were taken may be answered once the gateway is told to close.
+    pub leave_within: Duration,
+}
+
+const CONFIG: &str = "EDGE_CONFIG";
+const NAME: &str = "EDGE_NAME";
+const LISTEN: &str = "EDGE_LISTEN";
+/// Descriptors that are neither clients' nor engines': files, timers, names, peers, log, cancels.
+const RESERVED: u64 = 48;
+const FEWEST_SOCKETS: u64 = 128;
+const LEAST_MEMORY_MB: f64 = 32.0;
+/// Of the descriptors, what clients and engines may hold. The rest is reserve.
+const CLIENTS: f64 = 0.4;
+const ENGINES: f64 = 0.5;
+/// A statement at most holds its text, its result as pages and the answer written from them.
+const STATEMENT: usize = 64 * 1024;
+const PAGE: usize = 8 * 1024;
+const RESULT: usize = 96 * 1024;
+const PAGES: usize = 64;
+/// Memory that is neither a statement's nor a connection's, and what a connection holds in buffers.
+const BASE: f64 = 24e6;
+const CONNECTION: f64 = 64e3;
+/// The longest time that a gateway is given to close in.
+const LONGEST_LEAVE: Duration = Duration::from_secs(3);
+
+/// Reads the file that `path`, or else `EDGE_CONFIG`, names.
+pub fn load(path: Option<PathBuf>) -> Result<Start, String> {
+    let path = path.or_else(|| env::var_os(CONFIG).map(PathBuf::from));
+    let path = path.ok_or_else(|| format!("no configuration: name a file, or set {CONFIG}"))?;
+    let shown = path.display();
+    let text = std::fs::read(&path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
+    let value: Value = serde_json::from_slice(&text).map_err(|e| format!("{shown}: is not JSON: {e}"))?;
+    let told = |name: &str| env::var(name).ok().filter(|text| !text.is_empty());
+    read(&value, told(NAME), told(LISTEN)).map_err(|e| format!("{shown}: {e}"))
+}
+
+type Read<T> = Result<T, String>;
+
+fn text<'a>(value: &'a Value, key: &str) -> Read<Option<&'a str>> {
+    match value.get(key) {
+        None | Some(Value::Null) => Ok(None),
+        Some(Value::String(text)) => Ok(Some(text)),
+        Some(other) => Err(format!("{key}: {other} is not a text")),
+    }
+}
+
+fn address(key: &str, text: &str) -> Read<SocketAddr> {
+    text.parse().map_err(|_| format!("{key}: {text} is not an address and port"))
+}
+
+fn maybe_address(value: &Value, key: &str) -> Read<Option<SocketAddr>> {
+    text(value, key)?.map(|text| address(key, text)).transpose()
+}
+
+fn limit(limits: &Value, key: &str, absent: f64, least: f64) -> Read<f64> {
+    let wrong = |value: &Value| format!("limits.{key}: {value} is not a number from {least}");
+    match limits.get(key) {
+        None | Some(Value::Null) => Ok(absent),
+        Some(value) => value.as_f64().filter(|n| *n >= least).ok_or_else(|| wrong(value)),
+    }
+}
+
+/// `name` and `listen`: what the environment says, which goes before the file.
+pub fn read(value: &Value, name: Option<String>, listen: Option<String>) -> Read<Start> {
+    if !value.is_object() {
+        return Err("is not an object".into());
+    }
+    let name = match name {
+        Some(name) => name,
+        None => text(value, "name")?.unwrap_or("bramblewharf").to_string(),
+    };
+    let listen = match listen {
+        Some(listen) => address(LISTEN, &listen)?,
+        None => maybe_address(value, "listen")?.ok_or("listen: is missing")?,
+    };
+    let seed = match value.get("seed") {
+        None | Some(Value::Null) => return Err("seed: is missing".into()),
+        Some(Value::String(hex)) => {
+            u64::from_str_radix(hex, 16).map_err(|_| format!("seed: {hex} is not 16 hex digits"))?
+        }
+        Some(other) => other.as_u64().ok_or_else(|| format!("seed: {other} is not a whole number"))?,
+    };
+    let settings = value.get("settings").ok_or("settings: is missing")?;
+    let (site, words) =
+        bramblewharf_site::read(settings).map_err(|e| e.replace("member conf", "settings"))?;
+    let allowed = |key: &str| settings.get("allowed").and_then(|a| a.get(key)).and_then(Value::as_u64);
+    let deadline = |row: &Value| row.get("deadlineUs").and_then(Value::as_u64);
+    let deadlines =
+        settings.get("profiles").and_then(Value::as_array).into_iter().flatten().filter_map(deadline);
+    let longest = deadlines.max().map_or(LONGEST_LEAVE, Duration::from_micros);
+    let known = match value.get("known") {
+        None | Some(Value::Null) => Known { no: 0, list: Vec::new() },
+        Some(value) => known(value)?,
+    };
+    Ok(Start {
+        name,
+        listen,
+        seed,
+        bounds: bounds(value.get("limits").unwrap_or(&Value::Null), allowed("maxOpen"))?,
+        peers: peers(value, &site)?,
+        names: maybe_address(value, "names")?,
+        known,
+        dial_timeout: allowed("dialTimeoutUs").map_or(Duration::from_millis(250), Duration::from_micros),
+        engine_idle: allowed("keepaliveUs").map_or(Duration::from_secs(15), Duration::from_micros),
+        leave_within: longest.min(LONGEST_LEAVE),
+        site,
+        words,
+    })
+}
+
+fn peers(value: &Value, site: &Site) -> Read<Option<Peers>> {
+    let Some(listen) = maybe_address(value, "peer_listen")?.filter(|_| site.may_tell) else {
+        return Ok(None);
+    };
+    let mut each = Vec::new();
+    for (at, peer) in value.get("peers").and_then(Value::as_array).into_iter().flatten().enumerate() {
+        let key = format!("peers[{at}]");
+        each.push(address(&key, peer.as_str().ok_or_else(|| format!("{key}: {peer} is not a text"))?)?);
+    }
+    Ok(Some(Peers { listen, each, all: maybe_address(value, "peers_all")? }))
+}
+
+fn bounds(limits: &Value, max_open: Option<u64>) -> Read<Bounds> {
+    let sockets = limit(limits, "sockets", 1024.0, FEWEST_SOCKETS as f64)? - RESERVED as f64;
+    let memory = limit(limits, "memory_mb", 192.0, LEAST_MEMORY_MB)? * 1e6;
+    let (clients, engines) = ((sockets * CLIENTS) as usize, (sockets * ENGINES) as usize);
+    let held = ((memory - BASE).max(8e6) - (clients + engines) as f64 * CONNECTION).max(4e6);
+    let by_memory = (held / (STATEMENT + 2 * RESULT) as f64) as usize;
+    // An execution holds one connection at a time, and its cancel another.
+    let stmts = (engines * 4 / 5).min(clients).min(by_memory.max(16));
+    Ok(Bounds {
+        clients,
+        engines,
+        stmts: max_open.map_or(stmts, |most| stmts.min(most as usize)),
+        statement: STATEMENT,
+        page: PAGE,
+        result: RESULT,
+        pages: PAGES,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/invariants.rs
@@ -0,0 +1,43 @@
+//! What must hold whatever the network does: asserted in debug builds, counted in release builds.
+
+/// Each is a fault of the gateway itself, never of a peer, a client or the network.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Invariant {
+    /// A statement has one final answer.
+    OneAnswer,
+    /// An action speaks of a statement that is held.
+    KnownStatement,
+    /// A send goes to an engine on the list.
+    KnownEngine,
+    /// Nothing is sent for a statement that has its answer.
+    NothingAfter,
+    /// The decisions answer a statement before its time is over.
+    AnsweredInTime,
+}
+
+pub const ALL: [Invariant; 5] = [
+    Invariant::OneAnswer,
+    Invariant::KnownStatement,
+    Invariant::KnownEngine,
+    Invariant::NothingAfter,
+    Invariant::AnsweredInTime,
+];
+
+/// How often each was found broken.
+#[derive(Clone, Debug, Default)]
+pub struct Broken([u64; ALL.len()]);
+
+impl Broken {
+    /// Asserts in debug builds; in release builds counts, and the caller goes on as best it can.
+    pub fn check(&mut self, invariant: Invariant, holds: bool) -> bool {
+        debug_assert!(holds, "invariant broken: {invariant:?}");
+        if !holds {
+            self.0[invariant as usize] += 1;
+        }
+        holds
+    }
+
+    pub fn counts(&self) -> impl Iterator<Item = (Invariant, u64)> + '_ {
+        ALL.into_iter().map(|invariant| (invariant, self.0[invariant as usize]))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,16 @@
+//! The query gateway: one program on real sockets around the decisions of `bramblewharf`. Others can embed it:
+//! read a configuration with `config`, then `Gateway::start` and `Gateway::shut_down`.
+
+pub mod cli;
+pub mod config;
+mod engines;
+mod front;
+pub mod invariants;
+mod link;
+mod names;
+mod peers;
+pub mod reducer;
+mod runtime;
+mod tables;
+
+pub use runtime::Gateway;
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    bramblewharf_gateway::cli::run()
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,58 @@
+//! Messages between gateways: datagrams, which may be late, lost or forged.
+
+use crate::config::Peers as Addresses;
+use bramblewharf::interface::Event;
+use bramblewharf_site::message;
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::UdpSocket;
+
+/// The longest datagram that another gateway may send.
+const LONGEST: usize = 256;
+
+pub struct Peers {
+    socket: UdpSocket,
+    addresses: Addresses,
+    own: usize,
+}
+
+impl Peers {
+    pub async fn bind(addresses: Addresses, own: usize) -> io::Result<Peers> {
+        let socket = UdpSocket::bind(addresses.listen).await?;
+        Ok(Peers { socket, addresses, own })
+    }
+
+    /// Sends at once or not at all: what is told of loads is soon told again.
+    pub fn tell(&self, to: Option<u32>, message: &str) {
+        let address = match to {
+            None => self.addresses.all,
+            Some(peer) if peer as usize == self.own => None,
+            Some(peer) => self.addresses.each.get(peer as usize).copied(),
+        };
+        if let Some(address) = address.filter(|_| message.len() <= LONGEST) {
+            let _ = self.socket.try_send_to(message.as_bytes(), address);
+        }
+    }
+
+    /// The next message of a gateway that we know; others are passed over.
+    pub async fn hear(&self) -> Event {
+        let mut bytes = [0; LONGEST + 1];
+        loop {
+            match self.socket.recv_from(&mut bytes).await {
+                Ok((length, from)) if length <= LONGEST => {
+                    if let Some(number) = self.number(from) {
+                        return message::read(number, &bytes[..length]);
+                    }
+                }
+                Ok(_) => {}
+                // A peer that is down makes its errors ours; none of them is worth a busy loop.
+                Err(_) => actix_rt::time::sleep(std::time::Duration::from_millis(1)).await,
+            }
+        }
+    }
+
+    fn number(&self, from: SocketAddr) -> Option<u64> {
+        let at = self.addresses.each.iter().position(|address| *address == from)?;
+        (at != self.own).then_some(at as u64)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/reducer.rs
@@ -0,0 +1,442 @@
+//! The one place where the gateway's state changes: `(state, input, now) -> effects`, without I/O, clock or
+//! await. It owns the decisions, the statements and their executions; the runtime carries out what it asks for.
+
+use crate::invariants::{Broken, Invariant};
+use bramblewharf::choice::Chooser;
+use bramblewharf::interface::*;
+use bramblewharf_site::message;
+use bytes::Bytes;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long after a statement's time is over the gateway answers by itself, should the decisions not have.
+const GUARD: Duration = Duration::from_millis(15);
+
+/// What goes on unchanged to an engine.
+#[derive(Debug)]
+pub struct Parcel {
+    pub id: Bytes,
+    pub workload: Bytes,
+    pub key: Option<Bytes>,
+    pub statement: Bytes,
+}
+
+#[derive(Debug)]
+pub struct Taken {
+    /// Whom the answer goes to: a number of the front's own.
+    pub caller: u64,
+    pub said: NewStatement,
+    pub parcel: Parcel,
+}
+
+#[derive(Debug)]
+pub enum Input {
+    Statement(Taken),
+    /// The client has left, or its connection has.
+    Left(Id),
+    Noted {
+        id: Id,
+        execution: usize,
+        note: Note,
+    },
+    Ended {
+        id: Id,
+        execution: usize,
+        ending: Ending,
+    },
+    Engines(ListKind, Vec<Listed>),
+    /// What another gateway told.
+    Told(Event),
+    /// Something may be due.
+    Wake,
+    /// The gateway closes: what is still unanswered is aborted.
+    Close,
+}
+
+/// An engine of the list, and where it listens.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub entry: EngineEntry,
+    pub address: SocketAddr,
+}
+
+/// How an execution ended, as the engine or the network told.
+#[derive(Debug)]
+pub struct Ending {
+    pub outcome: Outcome,
+    /// Of a completed one, all pages in order.
+    pub pages: Vec<Bytes>,
+    pub took: Option<(Duration, f64)>,
+    pub report: Option<Report>,
+}
+
+impl From<Outcome> for Ending {
+    fn from(outcome: Outcome) -> Ending {
+        Ending { outcome, pages: Vec::new(), took: None, report: None }
+    }
+}
+
+/// The one final answer of a statement.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Completed(Vec<Bytes>),
+    Rejected(Option<Duration>),
+    Aborted,
+    /// The id is that of a statement that is still held.
+    InUse,
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Answer {
+        caller: u64,
+        answer: Answer,
+    },
+    Start {
+        id: Id,
+        execution: usize,
+        engine: Id,
+        address: SocketAddr,
+        parcel: Rc<Parcel>,
+        mem_mb: f64,
+        timeout: Duration,
+    },
+    /// Nothing more is wanted of an execution: the engine is told, and no one listens any longer.
+    Stop {
+        id: Id,
+        execution: usize,
+        engine: Id,
+        address: SocketAddr,
+    },
+    Tell {
+        to: Option<u32>,
+        message: String,
+    },
+}
+
+#[derive(Clone, Debug)]
+enum Due {
+    Mark(u64),
+    /// The time-out of an execution.
+    Execution(Id, usize),
+    /// A statement's time is over.
+    Statement(Id),
+}
+
+type DueAt = (Duration, u64);
+
+struct Execution {
+    engine: Id,
+    address: SocketAddr,
+    sent: Duration,
+    /// None once it has its outcome.
+    out: Option<DueAt>,
+}
+
+struct Stmt {
+    caller: u64,
+    parcel: Rc<Parcel>,
+    mem_mb: f64,
+    /// None once it has its answer.
+    open: Option<DueAt>,
+    executions: Vec<Execution>,
+}
+
+/// What has happened since the start, for whoever is on call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub completed: u64,
+    pub rejected: u64,
+    pub aborted: u64,
+    pub left: u64,
+    /// Rejected at the bound of statements held, before any decision.
+    pub full: u64,
+    pub id_in_use: u64,
+    pub executions: u64,
+    pub stopped: u64,
+    pub timed_out: u64,
+    /// Outcomes of executions that no one waited for any longer.
+    pub too_late: u64,
+}
+
+pub struct Reducer {
+    chooser: Chooser,
+    /// Emptied of a statement when it has its answer and none of its executions is out.
+    stmts: HashMap<Id, Stmt>,
+    open: usize,
+    most: usize,
+    /// The list as last heard.
+    engines: HashMap<Id, Listed>,
+    due: BTreeMap<DueAt, Due>,
+    dues: u64,
+    /// What the decisions have yet to hear of.
+    news: VecDeque<Event>,
+    effects: Vec<Effect>,
+    pub counts: Counts,
+    pub broken: Broken,
+}
+
+impl Reducer {
+    /// `most`: the statements that may be held at once.
+    pub fn start(site: Site, seed: u64, most: usize, now: Duration) -> (Reducer, Vec<Effect>) {
+        let (chooser, actions) = Chooser::start(site, seed, now);
+        let mut reducer = Reducer {
+            chooser,
+            stmts: HashMap::new(),
+            open: 0,
+            most,
+            engines: HashMap::new(),
+            due: BTreeMap::new(),
+            dues: 0,
+            news: VecDeque::new(),
+            effects: Vec::new(),
+            counts: Counts::default(),
+            broken: Broken::default(),
+        };
+        actions.into_iter().for_each(|action| reducer.act(now, action));
+        let effects = reducer.settle(now);
+        (reducer, effects)
+    }
+
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
+        match input {
+            Input::Statement(taken) => self.take(now, taken),
+            Input::Left(id) => self.left(&id),
+            Input::Noted { id, execution, note } => {
+                if let Some(engine) = self.out(&id, execution).map(|x| x.engine.clone()) {
+                    self.news.push_back(Event::Noted { id, execution, engine, note });
+                }
+            }
+            Input::Ended { id, execution, ending } => self.end(now, &id, execution, ending),
+            Input::Engines(kind, list) => self.list(kind, list),
+            Input::Told(event) => self.news.push_back(event),
+            Input::Wake => {}
+            Input::Close => self.close(),
+        }
+        while let Some(entry) = self.due.first_entry().filter(|first| first.key().0 <= now) {
+            let due = entry.remove();
+            self.fall_due(now, due);
+        }
+        self.settle(now)
+    }
+
+    /// When the next `Wake` is wanted.
+    pub fn due(&self) -> Option<Duration> {
+        self.due.first_key_value().map(|(at, _)| at.0)
+    }
+
+    /// Statements that wait for their answer.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Statements held, those that only wait for an execution's outcome among them.
+    pub fn held(&self) -> usize {
+        self.stmts.len()
+    }
+
+    /// Hands the decisions all news, and what follows from what they do with it.
+    fn settle(&mut self, now: Duration) -> Vec<Effect> {
+        while let Some(event) = self.news.pop_front() {
+            for action in self.chooser.event(now, event) {
+                self.act(now, action);
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn set(&mut self, at: Duration, due: Due) -> DueAt {
+        self.dues += 1;
+        self.due.insert((at, self.dues), due);
+        (at, self.dues)
+    }
+
+    fn out(&self, id: &Id, execution: usize) -> Option<&Execution> {
+        self.stmts.get(id)?.executions.get(execution).filter(|x| x.out.is_some())
+    }
+
+    fn take(&mut self, now: Duration, taken: Taken) {
+        let Taken { caller, said, parcel } = taken;
+        if self.stmts.contains_key(&said.id) {
+            self.counts.id_in_use += 1;
+            return self.effects.push(Effect::Answer { caller, answer: Answer::InUse });
+        }
+        if self.stmts.len() >= self.most {
+            self.counts.full += 1;
+            return self.effects.push(Effect::Answer { caller, answer: Answer::Rejected(None) });
+        }
+        self.counts.taken += 1;
+        self.open += 1;
+        let open = self.set(now + said.time_left + GUARD, Due::Statement(said.id.clone()));
+        let stmt =
+            Stmt { caller, parcel: Rc::new(parcel), mem_mb: 0.0, open: Some(open), executions: Vec::new() };
+        self.stmts.insert(said.id.clone(), stmt);
+        self.news.push_back(Event::Statement(said));
+    }
+
+    /// No answer is owed any longer; where the connection can still carry one, it says so.
+    fn left(&mut self, id: &Id) {
+        if self.stmts.get(id).is_some_and(|s| s.open.is_some()) {
+            self.counts.left += 1;
+            self.answer(id, Answer::Aborted);
+            self.news.push_back(Event::ClientGone(id.clone()));
+        }
+    }
+
+    fn close(&mut self) {
+        let open = self.stmts.iter().filter(|(_, s)| s.open.is_some()).map(|(id, _)| id.clone());
+        for id in open.collect::<Vec<_>>() {
+            self.counts.aborted += 1;
+            self.answer(&id, Answer::Aborted);
+            self.news.push_back(Event::ClientGone(id));
+        }
+    }
+
+    /// The only place that answers.
+    fn answer(&mut self, id: &Id, answer: Answer) {
+        let held = self.stmts.get_mut(id);
+        let open = held.and_then(|s| s.open.take().map(|at| (s.caller, at)));
+        if !self.broken.check(Invariant::OneAnswer, open.is_some()) {
+            return;
+        }
+        let Some((caller, at)) = open else { return };
+        self.due.remove(&at);
+        self.open -= 1;
+        self.effects.push(Effect::Answer { caller, answer });
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: &Id) {
+        if self
+            .stmts
+            .get(id)
+            .is_some_and(|s| s.open.is_none() && s.executions.iter().all(|x| x.out.is_none()))
+        {
+            self.stmts.remove(id);
+        }
+    }
+
+    /// Gives an execution its one outcome; whatever else comes for it is dropped.
+    fn end(&mut self, now: Duration, id: &Id, execution: usize, ending: Ending) {
+        let Some(stmt) = self.stmts.get_mut(id) else {
+            self.counts.too_late += 1;
+            return;
+        };
+        let x = stmt.executions.get_mut(execution);
+        let Some((x, at)) = x.and_then(|x| x.out.take().map(|at| (x, at))) else {
+            self.counts.too_late += 1;
+            return;
+        };
+        self.due.remove(&at);
+        let (engine, elapsed) = (x.engine.clone(), now.saturating_sub(x.sent));
+        let Ending { outcome, pages, took, report } = ending;
+        if outcome == Outcome::Completed && stmt.open.is_some() {
+            self.counts.completed += 1;
+            self.answer(id, Answer::Completed(pages));
+        }
+        let over = self.stmts.get(id).is_none_or(|s| s.open.is_none());
+        let ended = Ended { id: id.clone(), execution, engine, outcome, over, elapsed, took, report };
+        self.news.push_back(Event::Ended(ended));
+        self.forget(id);
+    }
+
+    fn stop(&mut self, now: Duration, id: &Id, execution: usize, outcome: Outcome) {
+        let Some(x) = self.out(id, execution) else { return };
+        let (engine, address) = (x.engine.clone(), x.address);
+        self.effects.push(Effect::Stop { id: id.clone(), execution, engine, address });
+        self.end(now, id, execution, outcome.into());
+    }
+
+    fn list(&mut self, kind: ListKind, list: Vec<Listed>) {
+        if matches!(kind, ListKind::All | ListKind::Remembered) {
+            self.engines.clear();
+        }
+        let entries = list.iter().map(|listed| listed.entry.clone()).collect();
+        for listed in list {
+            self.engines.insert(listed.entry.id.clone(), listed);
+        }
+        self.news.push_back(Event::Engines(kind, entries));
+    }
+
+    fn fall_due(&mut self, now: Duration, due: Due) {
+        match due {
+            Due::Mark(mark) => self.news.push_back(Event::Timer(mark)),
+            Due::Execution(id, execution) => {
+                self.counts.timed_out += 1;
+                self.stop(now, &id, execution, Outcome::TimedOut);
+            }
+            Due::Statement(id) => {
+                // The decisions are told first: a timer that came late may hide their own answer.
+                self.broken.check(Invariant::AnsweredInTime, false);
+                self.counts.aborted += 1;
+                self.answer(&id, Answer::Aborted);
+                self.news.push_back(Event::ClientGone(id));
+            }
+        }
+    }
+
+    fn act(&mut self, now: Duration, action: Action) {
+        match action {
+            Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout),
+            Action::Terms { id, mem_mb, .. } => {
+                if let Some(stmt) = self.stmts.get_mut(&id) {
+                    stmt.mem_mb = mem_mb;
+                }
+            }
+            Action::Cancel { id, execution } => {
+                self.counts.stopped += u64::from(self.out(&id, execution).is_some());
+                self.stop(now, &id, execution, Outcome::Cancelled);
+            }
+            Action::Reject { id, retry_in } => {
+                self.counts.rejected += 1;
+                self.answer(&id, Answer::Rejected(retry_in));
+            }
+            Action::Abort { id } => {
+                self.counts.aborted += 1;
+                self.answer(&id, Answer::Aborted);
+            }
+            Action::Timer { mark, delay } => {
+                self.set(now + delay, Due::Mark(mark));
+            }
+            // The list is always followed: what is asked for is here already.
+            Action::Watch => {
+                let entries = self.engines.values().map(|listed| listed.entry.clone()).collect();
+                self.news.push_back(Event::Engines(ListKind::All, entries));
+            }
+            Action::Tell { to, loads, group, engine } => {
+                self.effects.push(Effect::Tell { to, message: message::write(loads, group, &engine) });
+            }
+        }
+    }
+
+    fn send(&mut self, now: Duration, id: Id, engine: Id, timeout: Duration) {
+        let address = self.engines.get(&engine).map(|listed| listed.address);
+        self.broken.check(Invariant::KnownEngine, address.is_some());
+        let open = self.stmts.get(&id).map(|stmt| stmt.open.is_some());
+        self.broken.check(Invariant::KnownStatement, open.is_some());
+        self.broken.check(Invariant::NothingAfter, open != Some(false));
+        let execution = self.stmts.get(&id).map_or(0, |stmt| stmt.executions.len());
+        let (Some(address), Some(true)) = (address, open) else {
+            let skipped = Ended {
+                id: id.clone(),
+                execution,
+                engine,
+                outcome: Outcome::Skipped,
+                over: open != Some(true),
+                elapsed: Duration::ZERO,
+                took: None,
+                report: None,
+            };
+            return self.news.push_back(Event::Ended(skipped));
+        };
+        let at = self.set(now + timeout, Due::Execution(id.clone(), execution));
+        let Some(stmt) = self.stmts.get_mut(&id) else { return };
+        stmt.executions.push(Execution { engine: engine.clone(), address, sent: now, out: Some(at) });
+        self.counts.executions += 1;
+        let (parcel, mem_mb) = (stmt.parcel.clone(), stmt.mem_mb);
+        self.effects.push(Effect::Start { id, execution, engine, address, parcel, mem_mb, timeout });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/runtime.rs
@@ -0,0 +1,310 @@
+//! Carries out what the reducer asks for, on one thread: the gateway as it is started, serves and shuts down.
+
+use crate::config::{Bounds, Start};
+use crate::engines::{Engines, Job};
+use crate::front::Front;
+use crate::names::Asker;
+use crate::peers::Peers;
+use crate::reducer::{Answer, Effect, Input, Reducer};
+use actix_rt::net::TcpListener;
+use actix_rt::task::JoinHandle;
+use actix_rt::time::{sleep, sleep_until, Instant as TimerInstant};
+use bramblewharf::interface::{Id, ListKind};
+use bramblewharf_site::Names;
+use slog::Logger;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, Notify};
+
+/// How often idle connections are looked through, and how often figures are logged.
+const SWEEP: Duration = Duration::from_millis(500);
+const FIGURES: Duration = Duration::from_secs(30);
+/// A gateway told to close serves at least so long, as new connections go on coming for a while.
+const LEAVE_AT_LEAST: Duration = Duration::from_millis(900);
+/// And it is over so long after the time that statements are given: no one is killed with an answer owed.
+const LEAVE_SLACK: Duration = Duration::from_millis(200);
+/// Time for the last answers to be written.
+const LAST_WORDS: Duration = Duration::from_millis(100);
+
+/// The Unix time as it was at the start, and one clock from then on, which no correction moves.
+struct Clock {
+    at_start: Duration,
+    start: Instant,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let at_start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { at_start, start: Instant::now() }
+    }
+
+    fn now(&self) -> Duration {
+        self.at_start + self.start.elapsed()
+    }
+
+    fn instant(&self, at: Duration) -> TimerInstant {
+        TimerInstant::from_std(self.start + at.saturating_sub(self.at_start))
+    }
+}
+
+/// The reducer, and what its effects need.
+pub struct Core {
+    reducer: RefCell<Reducer>,
+    clock: Clock,
+    pub bounds: Bounds,
+    pub names: Names,
+    pub log: Logger,
+    engines: Engines,
+    peers: Option<Peers>,
+    callers: Cell<u64>,
+    answers: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
+    running: RefCell<HashMap<(Id, usize), JoinHandle<()>>>,
+    /// Cancels under way: the same statement waits for them before it goes to that engine again.
+    stopping: RefCell<HashMap<(Id, Id), JoinHandle<()>>>,
+    /// The earliest time that something may be due has changed.
+    due: Notify,
+    bad_calls: Cell<u64>,
+}
+
+impl Core {
+    /// The only way in: all that happens goes through the reducer, and its effects follow at once.
+    pub fn input(self: &Rc<Self>, input: Input) {
+        let (effects, sooner) = {
+            let mut reducer = self.reducer.borrow_mut();
+            let before = reducer.due();
+            let effects = reducer.step(self.clock.now(), input);
+            (effects, reducer.due() != before)
+        };
+        if sooner {
+            self.due.notify_one();
+        }
+        effects.into_iter().for_each(|effect| self.carry_out(effect));
+    }
+
+    /// A number for a new caller, and where its answer will be.
+    pub fn expect(&self) -> (u64, oneshot::Receiver<Answer>) {
+        let caller = self.callers.get();
+        self.callers.set(caller + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.answers.borrow_mut().insert(caller, sender);
+        (caller, receiver)
+    }
+
+    pub fn forget(&self, caller: u64) {
+        self.answers.borrow_mut().remove(&caller);
+    }
+
+    pub fn bad_call(&self) {
+        self.bad_calls.set(self.bad_calls.get() + 1);
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Answer { caller, answer } => {
+                if let Some(waits) = self.answers.borrow_mut().remove(&caller) {
+                    let _ = waits.send(answer);
+                }
+            }
+            Effect::Start { id, execution, engine, address, parcel, mem_mb, timeout } => {
+                let core = self.clone();
+                let stopping = self.stopping.borrow_mut().remove(&(id.clone(), engine));
+                let key = (id.clone(), execution);
+                let task = actix_rt::spawn(async move {
+                    if let Some(stopping) = stopping {
+                        let _ = stopping.await;
+                    }
+                    let job = Job { address, parcel: &parcel, mem_mb, timeout };
+                    let noted = |note| core.input(Input::Noted { id: id.clone(), execution, note });
+                    let ending = core.engines.run(job, noted).await;
+                    core.running.borrow_mut().remove(&(id.clone(), execution));
+                    core.input(Input::Ended { id, execution, ending });
+                });
+                self.running.borrow_mut().insert(key, task);
+            }
+            Effect::Stop { id, execution, engine, address } => {
+                if let Some(task) = self.running.borrow_mut().remove(&(id.clone(), execution)) {
+                    task.abort();
+                }
+                let core = self.clone();
+                let key = (id.clone(), engine);
+                let own = key.clone();
+                let task = actix_rt::spawn(async move {
+                    core.engines.stop(address, &id).await;
+                    core.stopping.borrow_mut().remove(&own);
+                });
+                self.stopping.borrow_mut().insert(key, task);
+            }
+            Effect::Tell { to, message } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &message);
+                }
+            }
+        }
+    }
+
+    async fn keep_time(self: Rc<Self>) {
+        loop {
+            let due = self.reducer.borrow().due();
+            let due = due.map(|at| self.clock.instant(at));
+            tokio::select! {
+                _ = self.due.notified() => {}
+                _ = async { sleep_until(due.unwrap_or_else(TimerInstant::now)).await }, if due.is_some() => {
+                    self.input(Input::Wake);
+                }
+            }
+        }
+    }
+
+    async fn hear_peers(self: Rc<Self>) {
+        while let Some(peers) = &self.peers {
+            let event = peers.hear().await;
+            self.input(Input::Told(event));
+        }
+    }
+
+    async fn follow_list(self: Rc<Self>, mut asker: Asker) {
+        loop {
+            let known = asker.change().await;
+            slog::info!(self.log, "list of engines"; "no" => known.no, "engines" => known.list.len());
+            self.input(Input::Engines(ListKind::All, known.list));
+        }
+    }
+
+    fn log_figures(&self) {
+        let reducer = self.reducer.borrow();
+        slog::info!(self.log, "figures"; "counts" => ?reducer.counts, "held" => reducer.held(),
+            "open" => reducer.open(), "bad_calls" => self.bad_calls.get(),
+            "broken" => ?reducer.broken.counts().filter(|(_, n)| *n > 0).collect::<Vec<_>>());
+    }
+}
+
+/// A gateway that serves. To be started inside a single-threaded runtime with a local task set, such as
+/// `actix_rt::System`; dropping it ends its tasks.
+pub struct Gateway {
+    core: Rc<Core>,
+    front: Rc<Front>,
+    tasks: Vec<JoinHandle<()>>,
+    address: std::net::SocketAddr,
+    leave_within: Duration,
+}
+
+impl Gateway {
+    /// Binds all its addresses before anything else; where one cannot be had, nothing is left behind.
+    pub async fn start(start: Start, log: Logger) -> io::Result<Gateway> {
+        let named = |what: &str, address: &dyn std::fmt::Display, e: io::Error| {
+            io::Error::new(e.kind(), format!("{what}: {address}: {e}"))
+        };
+        let listener = listen(start.listen).map_err(|e| named("listen", &start.listen, e))?;
+        let address = listener.local_addr()?;
+        let peers = match start.peers {
+            None => None,
+            Some(peers) => {
+                let at = peers.listen;
+                let bound = Peers::bind(peers, start.site.gateway as usize).await;
+                Some(bound.map_err(|e| named("peer_listen", &at, e))?)
+            }
+        };
+        let asker = match start.names {
+            None => None,
+            Some(server) => {
+                let asker = Asker::start(server, start.known.no, start.seed).await;
+                Some(asker.map_err(|e| named("names", &server, e))?)
+            }
+        };
+        let clock = Clock::new();
+        let engines =
+            Engines::new(start.bounds.clone(), start.words.clone(), start.dial_timeout, start.engine_idle);
+        let (reducer, first) = Reducer::start(start.site, start.seed, start.bounds.stmts, clock.now());
+        let core = Rc::new(Core {
+            reducer: RefCell::new(reducer),
+            clock,
+            bounds: start.bounds,
+            names: start.words,
+            log,
+            engines,
+            peers,
+            callers: Cell::new(0),
+            answers: RefCell::default(),
+            running: RefCell::default(),
+            stopping: RefCell::default(),
+            due: Notify::new(),
+            bad_calls: Cell::new(0),
+        });
+        first.into_iter().for_each(|effect| core.carry_out(effect));
+        core.input(Input::Engines(ListKind::Remembered, start.known.list));
+        let front = Front::new(core.bounds.clients);
+        slog::info!(core.log, "serving"; "name" => start.name, "listen" => %address,
+            "bounds" => ?core.bounds);
+        let mut tasks =
+            vec![actix_rt::spawn(core.clone().keep_time()), actix_rt::spawn(core.clone().hear_peers())];
+        if let Some(asker) = asker {
+            tasks.push(actix_rt::spawn(core.clone().follow_list(asker)));
+        }
+        let (accepting, log) = (front.clone().accept(listener, core.clone()), core.log.clone());
+        tasks.push(actix_rt::spawn(async move {
+            let Err(error) = accepting.await;
+            slog::error!(log, "no longer accepting"; "error" => %error);
+        }));
+        let (swept, engines) = (front.clone(), core.clone());
+        tasks.push(actix_rt::spawn(async move {
+            let mut logged = Instant::now();
+            loop {
+                sleep(SWEEP).await;
+                swept.lines.sweep();
+                engines.engines.lines.sweep();
+                if logged.elapsed() >= FIGURES {
+                    logged = Instant::now();
+                    engines.log_figures();
+                }
+            }
+        }));
+        Ok(Gateway { core, front, tasks, address, leave_within: start.leave_within })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.address
+    }
+
+    /// Goes on serving until all that was taken is answered and no new calls come; what is still open when
+    /// its time is over is aborted.
+    pub async fn shut_down(self) {
+        let began = Instant::now();
+        slog::info!(self.core.log, "closing");
+        let mut calls = (self.front.calls.get(), began);
+        while began.elapsed() < self.leave_within + LEAVE_SLACK {
+            sleep(Duration::from_millis(20)).await;
+            if self.front.calls.get() != calls.0 {
+                calls = (self.front.calls.get(), Instant::now());
+            }
+            let quiet = calls.1.elapsed() >= LEAVE_AT_LEAST / 3 && began.elapsed() >= LEAVE_AT_LEAST;
+            if quiet && self.core.reducer.borrow().open() == 0 {
+                break;
+            }
+        }
+        self.core.input(Input::Close);
+        sleep(LAST_WORDS).await;
+        self.core.log_figures();
+        slog::info!(self.core.log, "closed");
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// An address that a gateway before us had is free at once; a burst of new connections is kept waiting.
+fn listen(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        std::net::SocketAddr::V4(_) => actix_rt::net::TcpSocket::new_v4(),
+        std::net::SocketAddr::V6(_) => actix_rt::net::TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
--- a/crates/wirehost/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 /// Names that later lines use.
+#[derive(Clone, Debug)]
 pub struct Names {
     pub workloads: Vec<String>,
     pub customers: Vec<String>,
@@ -12,6 +13,19 @@
     pub x1_is_disks: bool,
 }
 
+impl Names {
+    /// A load report, from what an engine tells by the names of the settings.
+    pub fn report(&self, told: impl Fn(&str) -> Option<f64>) -> Report {
+        Report {
+            utilisation: told("cpu_share"),
+            held: told("busy_reqs"),
+            mem_waiting: told("pending"),
+            mem_granted: told("x0").filter(|_| self.x0_is_memory),
+            disks_busy: told("x1").filter(|_| self.x1_is_disks),
+        }
+    }
+}
+
 /// One object of the settings, and where it stands.
 struct Part<'a> {
     path: String,
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,10 +1,10 @@
 //! Carries the bench's JSON wire to the decisions: one instance a gateway, nothing shared between them.
 
-mod settings;
 mod wire;
 
 use bramblewharf::choice::Chooser;
 use bramblewharf::interface::{Action, Event};
+use bramblewharf_site::Names;
 use std::collections::HashMap;
 use std::io::{BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -18,7 +18,7 @@
 
 struct Instance {
     chooser: Chooser,
-    names: settings::Names,
+    names: Names,
 }
 
 fn main() -> ExitCode {
@@ -94,7 +94,7 @@
             "powerOn" => {
                 let gateway = line.text(1, "gatewayId")?;
                 let seed = line.whole(2, "entropy")?;
-                let (site, names) = settings::read(line.any(3)).map_err(|e| line.fault(&e))?;
+                let (site, names) = bramblewharf_site::read(line.any(3)).map_err(|e| line.fault(&e))?;
                 let started = catch_unwind(AssertUnwindSafe(|| Chooser::start(site, seed, now)));
                 match started {
                     Ok((chooser, actions)) => {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,8 +1,8 @@
 //! Lines of the wire, to and from the types of the decisions.
 
-use crate::settings::Names;
 use base64::{engine::general_purpose::STANDARD, Engine as _};
 use bramblewharf::interface::*;
+use bramblewharf_site::{message, Names};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -150,8 +150,8 @@
         }),
         "fromPeer" => {
             let text = line.text(3, "msg")?;
-            let message = STANDARD.decode(text).map_err(|e| line.fault(&format!("member msg: {e}")))?;
-            told(line.whole(2, "author")?, &message).unwrap_or(Event::Nothing)
+            let bytes = STANDARD.decode(text).map_err(|e| line.fault(&format!("member msg: {e}")))?;
+            message::read(line.whole(2, "author")?, &bytes)
         }
         "signal" => {
             let x = line.maybe(4, |l| l.number(4, "x"))?.unwrap_or(0.0);
@@ -179,26 +179,12 @@
     })
 }
 
-/// Messages between gateways are ours: a count, a table group and an engine. Others are passed over.
-fn told(from: u64, message: &[u8]) -> Option<Event> {
-    let mut parts = std::str::from_utf8(message).ok()?.splitn(3, ' ');
-    let (loads, group) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
-    Some(Event::Told { from, loads, group, engine: parts.next()?.into() })
-}
-
 fn report(line: &Line, at: usize, names: &Names) -> Result<Option<Report>, String> {
     if line.any(at).is_null() {
         return Ok(None);
     }
     let values = line.is(at, "pressure", "an object", Value::as_object)?;
-    let told = |name: &str| values.get(name).and_then(Value::as_f64);
-    Ok(Some(Report {
-        utilisation: told("cpu_share"),
-        held: told("busy_reqs"),
-        mem_waiting: told("pending"),
-        mem_granted: told("x0").filter(|_| names.x0_is_memory),
-        disks_busy: told("x1").filter(|_| names.x1_is_disks),
-    }))
+    Ok(Some(names.report(|name| values.get(name).and_then(Value::as_f64))))
 }
 
 fn statement(line: &Line, names: &Names) -> Result<NewStatement, String> {
@@ -256,7 +242,7 @@
         Action::Watch => json!(["listen", gateway, true]),
         Action::Tell { to, loads, group, engine } => {
             let to = to.map_or(json!("all"), |peer| json!(peer));
-            json!(["say", gateway, to, STANDARD.encode(format!("{loads} {group} {engine}"))])
+            json!(["say", gateway, to, STANDARD.encode(message::write(*loads, *group, engine))])
         }
     }
     .to_string()
