Bounds that make room: idle connections go first, statements are rejected before clients wait

Read off the code, then shown by tests: at the bound of clients' connections idle ones kept new ones waiting for 10 s, statements were bounded no lower than connections so that none was ever rejected early, and awc's pool holds idle connections beyond its limit and for engines that are gone. A fault in a decision costs one input now, not the timers. New counts by outcome and by engine in the log.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -175,8 +175,9 @@
     let (clients, engines) = ((sockets * CLIENTS) as usize, (sockets * ENGINES) as usize);
     let held = ((memory - BASE).max(8e6) - (clients + engines) as f64 * CONNECTION).max(4e6);
     let by_memory = (held / (STATEMENT + 2 * RESULT) as f64) as usize;
-    // An execution holds one connection at a time, and its cancel another.
-    let stmts = (engines * 4 / 5).min(clients).min(by_memory.max(16));
+    // An execution holds one connection at a time, and its cancel another. Of clients' connections some are
+    // left over for those that are rejected.
+    let stmts = (engines * 4 / 5).min(clients * 3 / 4).min(by_memory.max(16));
     Ok(Bounds {
         clients,
         engines,
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -15,6 +15,7 @@
 use bramblewharf::interface::*;
 use bramblewharf_site::Names;
 use bytes::Bytes;
+use std::cell::RefCell;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -29,11 +30,36 @@
 const PAGE_TRIES: usize = 3;
 
 pub struct Engines {
-    client: Client,
+    client: RefCell<Client>,
     pub lines: Rc<Lines>,
     names: Names,
     bounds: Bounds,
     dial_timeout: Duration,
+    idle: Duration,
+}
+
+/// A client that counts and watches its connections, and gives no call a time of its own.
+fn client(lines: &Rc<Lines>, idle: Duration, dial_timeout: Duration, most: usize) -> Client {
+    let lines = lines.clone();
+    let dial = fn_service(move |info: ConnectInfo<Uri>| {
+        let lines = lines.clone();
+        async move {
+            // A pool keeps what it has: at the bound, what no call can be open on makes room.
+            if lines.count() >= most && !lines.close_idlest(dial_timeout + UNANSWERED) {
+                return Err(DialError::Io(io::Error::other("too many connections to engines")));
+            }
+            let ip: IpAddr = info.hostname().parse().map_err(|_| DialError::Unresolved)?;
+            let stream = TcpStream::connect((ip, info.port())).await.map_err(DialError::Io)?;
+            Ok(Connection::new(info.request().clone(), lines.link(stream)))
+        }
+    });
+    let connector = Connector::new()
+        .connector::<_, Link>(dial)
+        .timeout(dial_timeout)
+        .limit(most)
+        .conn_keep_alive(idle)
+        .conn_lifetime(Duration::from_secs(3600));
+    Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
 /// What came of one call.
@@ -80,28 +106,14 @@
         // Closed well before engines close them: a statement must not cross such a close.
         let idle = engine_idle / 3;
         let lines = Rc::new(Lines::new(idle, true));
-        let linked = lines.clone();
-        let dial = fn_service(move |info: ConnectInfo<Uri>| {
-            let lines = linked.clone();
-            async move {
-                let ip: IpAddr = info.hostname().parse().map_err(|_| DialError::Unresolved)?;
-                let stream = TcpStream::connect((ip, info.port())).await.map_err(DialError::Io)?;
-                Ok::<_, DialError>(Connection::new(info.request().clone(), lines.link(stream)))
-            }
-        });
-        let connector = Connector::new()
-            .connector::<_, Link>(dial)
-            .timeout(dial_timeout)
-            .limit(bounds.engines)
-            .conn_keep_alive(idle)
-            .conn_lifetime(Duration::from_secs(3600));
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish();
-        Engines { client, lines, names, bounds, dial_timeout }
+        let client = RefCell::new(client(&lines, idle, dial_timeout, bounds.engines));
+        Engines { client, lines, names, bounds, dial_timeout, idle }
+    }
+
+    /// Begins with an empty pool, once engines are gone from the list: theirs would be kept for ever.
+    pub fn renew(&self) {
+        let client = client(&self.lines, self.idle, self.dial_timeout, self.bounds.engines);
+        self.client.replace(client);
     }
 
     /// Runs one execution to its end; `noted` is told the engine's notes.
@@ -129,7 +141,7 @@
                 },
             }
             started = true;
-            call = self.call(self.client.get(&news), Bytes::new(), self.bounds.page).await;
+            call = self.call(self.get(&news), Bytes::new(), self.bounds.page).await;
             let at_once = matches!(&call, Call::Answered(r) if r.status == StatusCode::ACCEPTED);
             if at_once && asked.elapsed() < TOO_FAST {
                 sleep(PAUSE).await;
@@ -140,13 +152,15 @@
     /// Gives an execution up. The engine that cannot be told ends it by itself, as no one asks for it.
     pub async fn stop(&self, address: SocketAddr, id: &str) {
         let uri = format!("http://{address}/x/{id}");
-        self.call(self.client.delete(uri), Bytes::new(), self.bounds.page).await;
+        let call = self.client.borrow().delete(uri);
+        self.call(call, Bytes::new(), self.bounds.page).await;
     }
 
     async fn post(&self, job: &Job<'_>, base: &str) -> Call {
         let Job { parcel, mem_mb, timeout, .. } = job;
         let mut request = self
             .client
+            .borrow()
             .post(base)
             .insert_header(("X-Ticket", &parcel.id[..]))
             .insert_header(("X-Queue", &parcel.workload[..]))
@@ -160,6 +174,10 @@
         self.call(request, parcel.statement.clone(), self.bounds.page).await
     }
 
+    fn get(&self, uri: &str) -> ClientRequest {
+        self.client.borrow().get(uri)
+    }
+
     async fn call(&self, request: ClientRequest, body: Bytes, most: usize) -> Call {
         let answered = async {
             let mut response = match request.no_decompress().send_body(body).await {
@@ -219,7 +237,7 @@
 
     async fn page(&self, uri: &str, number: usize) -> Option<Bytes> {
         for _ in 0..PAGE_TRIES {
-            match self.call(self.client.get(uri), Bytes::new(), self.bounds.page).await {
+            match self.call(self.get(uri), Bytes::new(), self.bounds.page).await {
                 Call::NotMade(true) | Call::Unreadable => return None,
                 Call::NotMade(false) | Call::Lost => sleep(PAUSE).await,
                 Call::Answered(reply) => {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,6 +28,7 @@
 const TEXT_WITHIN: Duration = Duration::from_secs(10);
 /// What a client may send ahead while it waits, and the head of a call.
 const AHEAD: usize = 16 * 1024;
+const AT_BOUND: Duration = Duration::from_millis(100);
 const LONGEST_NAME: usize = 128;
 const LONGEST_WAIT_MS: u64 = 24 * 3600 * 1000;
 const HEALTH: &str = "/status/live";
@@ -71,8 +72,10 @@
         let service = service.new_service(()).await.map_err(|()| io::Error::other("no service"))?;
         let service = Rc::new(service);
         loop {
+            // At the bound an idle connection makes room; where all are in use, new ones wait for one to end.
             while self.open.get() >= self.most {
-                self.closed.notified().await;
+                self.lines.close_idlest(Duration::ZERO);
+                let _ = timeout(AT_BOUND, self.closed.notified()).await;
             }
             match listener.accept().await {
                 Ok((stream, from)) => self.clone().connect(&service, stream, from),
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -50,6 +50,10 @@
         }
     }
 
+    fn idle_for(&self) -> Option<Duration> {
+        self.idle.get().map(|since| since.elapsed())
+    }
+
     fn wake(&self) {
         if let Some(waker) = self.readers.borrow_mut().take() {
             waker.wake();
@@ -71,6 +75,9 @@
     }
 }
 
+/// One of a pool's or a client's that is closed early for another must have been idle for so long.
+const IDLE_ENOUGH: Duration = Duration::from_millis(100);
+
 /// The connections of one side, and how long one may stand idle.
 pub struct Lines {
     lines: RefCell<Vec<Weak<Line>>>,
@@ -101,17 +108,35 @@
 
     /// Closes what has been idle for too long; to be called now and then.
     pub fn sweep(&self) {
-        let now = Instant::now();
-        let mut lines = std::mem::take(&mut *self.lines.borrow_mut());
-        lines.retain(|line| {
-            let Some(line) = line.upgrade() else { return false };
-            let stale = line.idle.get().is_some_and(|since| now - since > self.idle);
-            if stale {
+        for line in self.live() {
+            if line.idle_for().is_some_and(|idle| idle > self.idle) {
                 line.close();
             }
-            !stale
-        });
-        self.lines.borrow_mut().append(&mut lines);
+        }
+        self.lines.borrow_mut().retain(|line| line.strong_count() > 0);
+    }
+
+    /// Closes the one that has been idle longest, if for at least `least`; false where there is none.
+    pub fn close_idlest(&self, least: Duration) -> bool {
+        let idle = self.live().into_iter().filter_map(|line| Some((line.idle_for()?, line)));
+        match idle.max_by_key(|(idle, _)| *idle).filter(|(idle, _)| *idle >= least.max(IDLE_ENOUGH)) {
+            Some((_, line)) => line.close(),
+            None => return false,
+        }
+        true
+    }
+
+    pub fn close_all(&self) {
+        self.live().iter().for_each(|line| line.close());
+    }
+
+    pub fn count(&self) -> usize {
+        self.live().len()
+    }
+
+    fn live(&self) -> Vec<Rc<Line>> {
+        let lines = self.lines.borrow();
+        lines.iter().filter_map(Weak::upgrade).filter(|line| line.stream.borrow().is_some()).collect()
     }
 }
 
@@ -177,3 +202,58 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncReadExt as _;
+    use tokio::net::TcpListener;
+
+    /// The other end of a new link, and the link.
+    async fn pair(lines: &Lines) -> (TcpStream, Link) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let there = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        (there, lines.link(listener.accept().await.unwrap().0))
+    }
+
+    #[actix_rt::test]
+    async fn what_is_idle_is_closed_and_its_reader_woken_and_what_is_open_is_not() {
+        let lines = Lines::new(Duration::ZERO, false);
+        let (mut there, mut idle) = pair(&lines).await;
+        let (_busy_there, busy) = pair(&lines).await;
+        busy.0.open(10);
+        let reader = actix_rt::spawn(async move { idle.read(&mut [0; 8]).await });
+        tokio::task::yield_now().await;
+        lines.sweep();
+        assert_eq!(reader.await.unwrap().unwrap(), 0);
+        assert_eq!(there.read(&mut [0; 8]).await.unwrap(), 0);
+        assert_eq!(lines.count(), 1);
+        assert!(!lines.close_idlest(Duration::ZERO));
+        busy.0.rest();
+        lines.sweep();
+        assert_eq!(lines.count(), 0);
+    }
+
+    #[actix_rt::test]
+    async fn no_more_is_read_ahead_than_allowed_while_a_call_is_open() {
+        let lines = Lines::new(Duration::from_secs(60), false);
+        let (there, mut link) = pair(&lines).await;
+        link.0.open(4);
+        there.writable().await.unwrap();
+        assert_eq!(there.try_write(b"12345678").unwrap(), 8);
+        let line = link.0.clone();
+        let reader = actix_rt::spawn(async move {
+            let mut bytes = [0; 4];
+            link.read_exact(&mut bytes).await.unwrap();
+            link.read_exact(&mut bytes).await.unwrap();
+            bytes
+        });
+        while line.allowed.get() > 0 {
+            tokio::task::yield_now().await;
+        }
+        tokio::task::yield_now().await;
+        assert!(!reader.is_finished());
+        line.rest();
+        assert_eq!(&reader.await.unwrap(), b"5678");
+    }
+}
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -6,6 +6,7 @@
 use hickory_proto::rr::{Name, RData, RecordType};
 use nanorand::{Rng, WyRand};
 use serde_json::Value;
+use slog::Logger;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
@@ -19,6 +20,8 @@
 const LONGEST: usize = 8_000;
 /// Answers in a row with an earlier number after which the name service itself is taken to have gone back.
 const GONE_BACK: u32 = 20;
+/// Questions in a row without an answer after which that is worth a line in the log.
+const SILENT: u32 = 20;
 
 /// The list as it stands after an event with this number.
 #[derive(Clone, Debug)]
@@ -81,11 +84,12 @@
     earlier: u32,
     next: Instant,
     /// Questions in a row without a usable answer.
-    pub unanswered: u32,
+    unanswered: u32,
+    log: Logger,
 }
 
 impl Asker {
-    pub async fn start(server: SocketAddr, no: u64, seed: u64) -> std::io::Result<Asker> {
+    pub async fn start(server: SocketAddr, no: u64, seed: u64, log: Logger) -> std::io::Result<Asker> {
         let local: IpAddr = match server {
             SocketAddr::V4(_) => IpAddr::from([0, 0, 0, 0]),
             SocketAddr::V6(_) => IpAddr::from([0; 16]),
@@ -95,7 +99,7 @@
         socket.connect(server).await?;
         let name = Name::from_str(SERVICE).map_err(std::io::Error::other)?;
         let next = Instant::now();
-        Ok(Asker { socket, rng: WyRand::new_seed(seed), name, no, earlier: 0, next, unanswered: 0 })
+        Ok(Asker { socket, rng: WyRand::new_seed(seed), name, no, earlier: 0, next, unanswered: 0, log })
     }
 
     /// The list, once it is another one than before.
@@ -104,6 +108,9 @@
             tokio::time::sleep_until(self.next).await;
             self.next = Instant::now() + EVERY;
             self.unanswered = self.unanswered.saturating_add(1);
+            if self.unanswered == SILENT {
+                slog::warn!(self.log, "name service silent: the list may be old"; "no" => self.no);
+            }
             if let Some(known) = self.ask().await {
                 return known;
             }
@@ -130,6 +137,9 @@
                 continue;
             }
             let Some(known) = read_answer(&answer, &self.name) else { continue };
+            if self.unanswered > SILENT {
+                slog::info!(self.log, "name service answers again"; "unanswered" => self.unanswered);
+            }
             self.unanswered = 0;
             return self.news(known);
         }
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -160,11 +160,16 @@
     pub aborted: u64,
     pub left: u64,
     /// Rejected at the bound of statements held, before any decision.
-    pub full: u64,
+    pub at_bound: u64,
     pub id_in_use: u64,
     pub executions: u64,
     pub stopped: u64,
     pub timed_out: u64,
+    /// By what engines and the network told of executions.
+    pub full: u64,
+    pub refused: u64,
+    pub resets: u64,
+    pub errors: u64,
     /// Outcomes of executions that no one waited for any longer.
     pub too_late: u64,
 }
@@ -184,6 +189,8 @@
     /// What the decisions have yet to hear of.
     news: VecDeque<Event>,
     effects: Vec<Effect>,
+    /// Emptied whenever it is logged.
+    ill: BTreeMap<Id, u64>,
     pub counts: Counts,
     pub broken: Broken,
 }
@@ -205,6 +212,7 @@
             dues: 0,
             news: VecDeque::new(),
             effects: Vec::new(),
+            ill: BTreeMap::new(),
             counts: Counts::default(),
             broken: Broken::default(),
         };
@@ -285,7 +293,7 @@
             return self.effects.push(Effect::Answer { caller, answer: Answer::InUse });
         }
         if self.stmts.len() >= self.most {
-            self.counts.full += 1;
+            self.counts.at_bound += 1;
             return self.effects.push(Effect::Answer { caller, answer: Answer::Rejected(None) });
         }
         self.counts.taken += 1;
@@ -357,12 +365,32 @@
             self.counts.completed += 1;
             self.answer(id, Answer::Completed(pages));
         }
+        self.count(outcome, &engine);
         let over = self.stmts.get(id).is_none_or(|s| s.open.is_none());
         let ended = Ended { id: id.clone(), execution, engine, outcome, over, elapsed, took, report };
         self.news.push_back(Event::Ended(ended));
         self.forget(id);
     }
 
+    fn count(&mut self, outcome: Outcome, engine: &Id) {
+        let counts = &mut self.counts;
+        let count = match outcome {
+            Outcome::Full => &mut counts.full,
+            Outcome::Refused => &mut counts.refused,
+            Outcome::Reset => &mut counts.resets,
+            Outcome::Error => &mut counts.errors,
+            Outcome::TimedOut => &mut counts.timed_out,
+            Outcome::Completed | Outcome::Cancelled | Outcome::Skipped => return,
+        };
+        *count += 1;
+        self.ill.entry(engine.clone()).and_modify(|n| *n += 1).or_insert(1);
+    }
+
+    /// Executions that went wrong since this was last asked, by engine.
+    pub fn take_ill(&mut self) -> BTreeMap<Id, u64> {
+        std::mem::take(&mut self.ill)
+    }
+
     /// Where a statement may have one execution out at a time, the outcome waits until the engine knows, or the
     /// statement's time is over: the next execution must not overtake the cancel.
     fn stop(&mut self, now: Duration, id: &Id, execution: usize, outcome: Outcome) {
@@ -400,8 +428,6 @@
         match due {
             Due::Mark(mark) => self.news.push_back(Event::Timer(mark)),
             Due::Execution(id, execution) => {
-                self.counts.timed_out +=
-                    u64::from(self.out(&id, execution).is_some_and(|x| x.stopping.is_none()));
                 self.stop(now, &id, execution, Outcome::TimedOut);
             }
             Due::Statement(id) => {
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -13,8 +13,10 @@
 use bramblewharf_site::Names;
 use slog::Logger;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -61,21 +63,38 @@
     peers: Option<Peers>,
     callers: Cell<u64>,
     answers: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
+    /// Where the engines of the list listen.
+    addresses: RefCell<HashSet<SocketAddr>>,
     running: RefCell<HashMap<(Id, usize), JoinHandle<()>>>,
     /// Cancels under way: the same statement waits for them before it goes to that engine again.
     stopping: RefCell<HashMap<(Id, Id), JoinHandle<()>>>,
     /// The earliest time that something may be due has changed.
     due: Notify,
     bad_calls: Cell<u64>,
+    faults: Cell<u64>,
+    /// Nothing is taken in or carried out any longer.
+    closed: Cell<bool>,
 }
 
 impl Core {
     /// The only way in: all that happens goes through the reducer, and its effects follow at once.
     pub fn input(self: &Rc<Self>, input: Input) {
+        if self.closed.get() {
+            return;
+        }
         let (effects, sooner) = {
             let mut reducer = self.reducer.borrow_mut();
             let before = reducer.due();
-            let effects = reducer.step(self.clock.now(), input);
+            let step = AssertUnwindSafe(|| reducer.step(self.clock.now(), input));
+            // A fault in the decisions costs one input, not the gateway: its timers and other statements go on.
+            let effects = catch_unwind(step).unwrap_or_else(|fault| {
+                self.faults.set(self.faults.get() + 1);
+                slog::error!(self.log, "fault in a decision"; "faults" => self.faults.get());
+                if cfg!(debug_assertions) {
+                    resume_unwind(fault);
+                }
+                Vec::new()
+            });
             (effects, reducer.due() != before)
         };
         if sooner {
@@ -170,14 +189,22 @@
         loop {
             let known = asker.change().await;
             slog::info!(self.log, "list of engines"; "no" => known.no, "engines" => known.list.len());
+            let addresses: HashSet<SocketAddr> = known.list.iter().map(|listed| listed.address).collect();
+            let gone = !self.addresses.borrow().is_subset(&addresses);
+            self.addresses.replace(addresses);
             self.input(Input::Engines(ListKind::All, known.list));
+            if gone {
+                self.engines.renew();
+            }
         }
     }
 
     fn log_figures(&self) {
-        let reducer = self.reducer.borrow();
+        let mut reducer = self.reducer.borrow_mut();
+        let ill = reducer.take_ill();
         slog::info!(self.log, "figures"; "counts" => ?reducer.counts, "held" => reducer.held(),
-            "open" => reducer.open(), "bad_calls" => self.bad_calls.get(),
+            "open" => reducer.open(), "ill" => ?ill, "bad_calls" => self.bad_calls.get(),
+            "connections" => self.engines.lines.count(), "faults" => self.faults.get(),
             "broken" => ?reducer.broken.counts().filter(|(_, n)| *n > 0).collect::<Vec<_>>());
     }
 }
@@ -188,7 +215,7 @@
     core: Rc<Core>,
     front: Rc<Front>,
     tasks: Vec<JoinHandle<()>>,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     leave_within: Duration,
 }
 
@@ -211,7 +238,7 @@
         let asker = match start.names {
             None => None,
             Some(server) => {
-                let asker = Asker::start(server, start.known.no, start.seed).await;
+                let asker = Asker::start(server, start.known.no, start.seed, log.clone()).await;
                 Some(asker.map_err(|e| named("names", &server, e))?)
             }
         };
@@ -229,10 +256,13 @@
             peers,
             callers: Cell::new(0),
             answers: RefCell::default(),
+            addresses: RefCell::new(start.known.list.iter().map(|listed| listed.address).collect()),
             running: RefCell::default(),
             stopping: RefCell::default(),
             due: Notify::new(),
             bad_calls: Cell::new(0),
+            faults: Cell::new(0),
+            closed: Cell::new(false),
         });
         first.into_iter().for_each(|effect| core.carry_out(effect));
         core.input(Input::Engines(ListKind::Remembered, start.known.list));
@@ -266,7 +296,7 @@
     }
 
     /// Where it listens.
-    pub fn address(&self) -> std::net::SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
@@ -295,15 +325,20 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
+        self.core.closed.set(true);
         self.tasks.iter().for_each(JoinHandle::abort);
+        self.core.running.borrow().values().for_each(JoinHandle::abort);
+        self.core.stopping.borrow().values().for_each(JoinHandle::abort);
+        self.front.lines.close_all();
+        self.core.engines.lines.close_all();
     }
 }
 
 /// An address that a gateway before us had is free at once; a burst of new connections is kept waiting.
-fn listen(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
-        std::net::SocketAddr::V4(_) => actix_rt::net::TcpSocket::new_v4(),
-        std::net::SocketAddr::V6(_) => actix_rt::net::TcpSocket::new_v6(),
+        SocketAddr::V4(_) => actix_rt::net::TcpSocket::new_v4(),
+        SocketAddr::V6(_) => actix_rt::net::TcpSocket::new_v6(),
     }?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -413,6 +413,38 @@
     assert_eq!(served.ask(&good).status, 200);
 }
 
+/// With all descriptors in use new calls are rejected or wait for one, and none is lost; idle ones make room.
+#[test]
+fn at_its_bounds_it_rejects_early_and_recovers() {
+    let open = Arc::new(Mutex::new(false));
+    let gate = open.clone();
+    let engine = Engine::start(move |_| match *gate.lock().unwrap() {
+        true => answer(200, "Page-Count: 1\r\n", b"done\n"),
+        false => answer(202, "", b""),
+    });
+    let mut configuration = configuration(&[engine.address]);
+    configuration["limits"]["sockets"] = json!(128);
+    // Capacity is no matter here.
+    configuration["settings"]["domain"]["sizeCores"] = json!([1000]);
+    let served = Served::by(&configuration);
+    let idle: Vec<TcpStream> = (0..40).map(|_| served.connect()).collect();
+    let mut held = Vec::new();
+    for id in 0..24 {
+        let mut stream = served.connect();
+        stream.write_all(call("read", id, 60_000, "").as_bytes()).unwrap();
+        engine.wait(|call| call.headers.get("x-ticket") == Some(&format!("{id:016x}")));
+        held.push(stream);
+    }
+    let rejected = served.ask(&call("read", 99, 60_000, ""));
+    assert_eq!((rejected.status, rejected.body), (503, json!({"abort": "Busy"})));
+    *open.lock().unwrap() = true;
+    for stream in held {
+        assert_eq!(Answered::read(&mut BufReader::new(stream)).status, 200);
+    }
+    assert_eq!(served.ask(&call("read", 100, 60_000, "")).status, 200);
+    drop(idle);
+}
+
 #[test]
 fn calls_may_come_in_pieces_and_ahead_of_answers() {
     let engine = Engine::well();
@@ -526,7 +558,8 @@
         vec![list_answer(id, serial, &[("x", address, 1)])]
     });
     actix_rt::System::new().block_on(async {
-        let mut asker = Asker::start(names, 1, 7).await.unwrap();
+        let mut asker =
+            Asker::start(names, 1, 7, slog::Logger::root(slog::Discard, slog::o!())).await.unwrap();
         for no in [5, 7, 4] {
             assert_eq!(tokio::time::timeout(LONG, asker.change()).await.unwrap().no, no);
         }
--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -136,7 +136,7 @@
     engine_of(&r.step(START, statement("s", 1, 0, 1000)));
     assert_eq!(answers(r.step(START, statement("s", 2, 0, 1000))), vec![(2, Answer::InUse)]);
     assert_eq!(answers(r.step(START, statement("t", 3, 0, 1000))), vec![(3, Answer::Rejected(None))]);
-    assert_eq!((r.counts.taken, r.counts.id_in_use, r.counts.full), (1, 1, 1));
+    assert_eq!((r.counts.taken, r.counts.id_in_use, r.counts.at_bound), (1, 1, 1));
 }
 
 /// A loop that was late by seconds still lets the decisions answer, each statement once.
