--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -55,12 +55,11 @@
 const NAME: &str = "EDGE_NAME";
 const LISTEN: &str = "EDGE_LISTEN";
 /// Descriptors that are neither clients' nor engines': files, timers, names, peers, log, cancels.
-const RESERVED: u64 = 48;
-const FEWEST_SOCKETS: u64 = 128;
+const RESERVED: usize = 48;
+const FEWEST_SOCKETS: usize = 128;
 const LEAST_MEMORY_MB: f64 = 32.0;
-/// Of the descriptors, what clients and engines may hold. The rest is reserve.
-const CLIENTS: f64 = 0.4;
-const ENGINES: f64 = 0.5;
+/// Of all descriptors, what clients may hold; they hold a third by themselves. What is left is for engines.
+const CLIENTS: f64 = 0.36;
 /// A statement at most holds its text, its result as pages and the answer written from them.
 const STATEMENT: usize = 64 * 1024;
 const PAGE: usize = 8 * 1024;
@@ -170,9 +169,10 @@
 }
 
 fn bounds(limits: &Value, max_open: Option<u64>) -> Read<Bounds> {
-    let sockets = limit(limits, "sockets", 1024.0, FEWEST_SOCKETS as f64)? - RESERVED as f64;
+    let sockets = limit(limits, "sockets", 1024.0, FEWEST_SOCKETS as f64)? as usize;
     let memory = limit(limits, "memory_mb", 192.0, LEAST_MEMORY_MB)? * 1e6;
-    let (clients, engines) = ((sockets * CLIENTS) as usize, (sockets * ENGINES) as usize);
+    let clients = (sockets as f64 * CLIENTS) as usize;
+    let engines = sockets - RESERVED - clients;
     let held = ((memory - BASE).max(8e6) - (clients + engines) as f64 * CONNECTION).max(4e6);
     let by_memory = (held / (STATEMENT + 2 * RESULT) as f64) as usize;
     // An execution holds one connection at a time, and its cancel another. Of clients' connections some are
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -427,9 +427,13 @@
     // Capacity is no matter here.
     configuration["settings"]["domain"]["sizeCores"] = json!([1000]);
     let served = Served::by(&configuration);
-    let idle: Vec<TcpStream> = (0..40).map(|_| served.connect()).collect();
+    let bounds = config::read(&configuration, None, None).unwrap().bounds;
+    assert!(
+        bounds.clients > 128 / 3 && bounds.stmts < bounds.clients && bounds.clients + bounds.engines < 128
+    );
+    let idle: Vec<TcpStream> = (0..bounds.clients + 8).map(|_| served.connect()).collect();
     let mut held = Vec::new();
-    for id in 0..24 {
+    for id in 0..bounds.stmts as u64 {
         let mut stream = served.connect();
         stream.write_all(call("read", id, 60_000, "").as_bytes()).unwrap();
         engine.wait(|call| call.headers.get("x-ticket") == Some(&format!("{id:016x}")));
