--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -68,6 +68,9 @@
 /// Memory that is neither a statement's nor a connection's, and what a connection holds in buffers.
 const BASE: f64 = 24e6;
 const CONNECTION: f64 = 64e3;
+/// Where the settings do not say.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
+const ENGINE_IDLE: Duration = Duration::from_secs(15);
 /// The longest time that a gateway is given to close in.
 const LONGEST_LEAVE: Duration = Duration::from_secs(3);
 
@@ -100,6 +103,21 @@
     text(value, key)?.map(|text| address(key, text)).transpose()
 }
 
+/// A whole number above 0, where there is one; `path` is where the object stands.
+fn whole(object: &Value, key: &str, path: &str) -> Read<Option<u64>> {
+    match object.get(key) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match value.as_u64().filter(|n| *n > 0) {
+            Some(n) => Ok(Some(n)),
+            None => Err(format!("{path}.{key}: {value} is not a whole number above 0")),
+        },
+    }
+}
+
+fn span(object: &Value, key: &str, path: &str) -> Read<Option<Duration>> {
+    Ok(whole(object, key, path)?.map(Duration::from_micros))
+}
+
 fn limit(limits: &Value, key: &str, absent: f64, least: f64) -> Read<f64> {
     let wrong = |value: &Value| format!("limits.{key}: {value} is not a number from {least}");
     match limits.get(key) {
@@ -131,11 +149,11 @@
     let settings = value.get("settings").ok_or("settings: is missing")?;
     let (site, words) =
         bramblewharf_site::read(settings).map_err(|e| e.replace("member conf", "settings"))?;
-    let allowed = |key: &str| settings.get("allowed").and_then(|a| a.get(key)).and_then(Value::as_u64);
-    let deadline = |row: &Value| row.get("deadlineUs").and_then(Value::as_u64);
-    let deadlines =
-        settings.get("profiles").and_then(Value::as_array).into_iter().flatten().filter_map(deadline);
-    let longest = deadlines.max().map_or(LONGEST_LEAVE, Duration::from_micros);
+    let allowed = settings.get("allowed").unwrap_or(&Value::Null);
+    let mut longest = None;
+    for (at, row) in settings.get("profiles").and_then(Value::as_array).into_iter().flatten().enumerate() {
+        longest = longest.max(span(row, "deadlineUs", &format!("settings.profiles[{at}]"))?);
+    }
     let known = match value.get("known") {
         None | Some(Value::Null) => Known { no: 0, list: Vec::new() },
         Some(value) => known(value)?,
@@ -144,13 +162,16 @@
         name,
         listen,
         seed,
-        bounds: bounds(value.get("limits").unwrap_or(&Value::Null), allowed("maxOpen"))?,
+        bounds: bounds(
+            value.get("limits").unwrap_or(&Value::Null),
+            whole(allowed, "maxOpen", "settings.allowed")?,
+        )?,
         peers: peers(value, &site)?,
         names: maybe_address(value, "names")?,
         known,
-        dial_timeout: allowed("dialTimeoutUs").map_or(Duration::from_millis(250), Duration::from_micros),
-        engine_idle: allowed("keepaliveUs").map_or(Duration::from_secs(15), Duration::from_micros),
-        leave_within: longest.min(LONGEST_LEAVE),
+        dial_timeout: span(allowed, "dialTimeoutUs", "settings.allowed")?.unwrap_or(DIAL_TIMEOUT),
+        engine_idle: span(allowed, "keepaliveUs", "settings.allowed")?.unwrap_or(ENGINE_IDLE),
+        leave_within: longest.unwrap_or(LONGEST_LEAVE).min(LONGEST_LEAVE),
         site,
         words,
     })
@@ -161,7 +182,9 @@
         return Ok(None);
     };
     let mut each = Vec::new();
-    for (at, peer) in value.get("peers").and_then(Value::as_array).into_iter().flatten().enumerate() {
+    let peers = value.get("peers").unwrap_or(&Value::Null);
+    let wrong = || format!("peers: {peers} is not a list");
+    for (at, peer) in peers.as_array().ok_or_else(wrong)?.iter().enumerate() {
         let key = format!("peers[{at}]");
         each.push(address(&key, peer.as_str().ok_or_else(|| format!("{key}: {peer} is not a text"))?)?);
     }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -48,7 +48,8 @@
             if lines.count() >= most && !lines.close_idlest(dial_timeout + UNANSWERED) {
                 return Err(DialError::Io(io::Error::other("too many connections to engines")));
             }
-            let ip: IpAddr = info.hostname().parse().map_err(|_| DialError::Unresolved)?;
+            let host = info.hostname().trim_matches(['[', ']']);
+            let ip: IpAddr = host.parse().map_err(|_| DialError::Unresolved)?;
             let stream = TcpStream::connect((ip, info.port())).await.map_err(DialError::Io)?;
             Ok(Connection::new(info.request().clone(), lines.link(stream)))
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,6 +28,7 @@
 const TEXT_WITHIN: Duration = Duration::from_secs(10);
 /// What a client may send ahead while it waits, and the head of a call.
 const AHEAD: usize = 16 * 1024;
+/// How long until room is made again at the bound of connections.
 const AT_BOUND: Duration = Duration::from_millis(100);
 const LONGEST_NAME: usize = 128;
 const LONGEST_WAIT_MS: u64 = 24 * 3600 * 1000;
@@ -40,14 +41,14 @@
     open: Cell<usize>,
     closed: Notify,
     most: usize,
-    /// Calls begun since the start.
-    pub calls: Cell<u64>,
+    /// Statements that began to come since the start.
+    pub begun: Cell<u64>,
 }
 
 impl Front {
     pub fn new(most: usize) -> Rc<Front> {
         let lines = Rc::new(Lines::new(IDLE, false));
-        Rc::new(Front { lines, open: Cell::new(0), closed: Notify::new(), most, calls: Cell::new(0) })
+        Rc::new(Front { lines, open: Cell::new(0), closed: Notify::new(), most, begun: Cell::new(0) })
     }
 
     /// Accepts for as long as it is polled.
@@ -101,7 +102,6 @@
     }
 
     async fn call(&self, core: Rc<Core>, mut request: Request) -> Response<BoxBody> {
-        self.calls.set(self.calls.get() + 1);
         let line = request.conn_data::<Rc<Line>>().cloned();
         let _open = line.as_ref().map(|line| {
             line.open(core.bounds.statement + AHEAD);
@@ -113,6 +113,7 @@
                 plain(StatusCode::OK, "{\"status\":\"live\"}")
             }
             (&Method::POST, Some(workload)) => {
+                self.begun.set(self.begun.get() + 1);
                 let workload = workload.rsplit('/').next().unwrap_or(workload).to_string();
                 statement(&core, &workload, request.headers(), payload, line).await
             }
@@ -195,7 +196,7 @@
     let answer = tokio::select! {
         biased;
         answer = answer => answer,
-        _ = left => unreachable!("it never ends"),
+        never = left => match never {},
     };
     waiting.id = None;
     match answer {
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -8,7 +8,7 @@
 use crate::reducer::{Answer, Effect, Input, Reducer};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
-use actix_rt::time::{sleep, sleep_until, Instant as TimerInstant};
+use actix_rt::time::{sleep, sleep_until, timeout as timeout_after, Instant as TimerInstant};
 use bramblewharf::interface::{Id, ListKind};
 use bramblewharf_site::Names;
 use slog::Logger;
@@ -28,6 +28,9 @@
 const LEAVE_AT_LEAST: Duration = Duration::from_millis(900);
 /// And it is over so long after the time that statements are given: no one is killed with an answer owed.
 const LEAVE_SLACK: Duration = Duration::from_millis(350);
+/// A statement waits for its own cancel at an engine no longer than this before it goes there again: an engine
+/// that has begun to drain meanwhile must not be sent what was decided before.
+const STOP_WITHIN: Duration = Duration::from_millis(150);
 /// Time for the last answers to be written.
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
@@ -133,7 +136,7 @@
                 let key = (id.clone(), execution);
                 let task = actix_rt::spawn(async move {
                     if let Some(stopping) = stopping {
-                        let _ = stopping.await;
+                        let _ = timeout_after(STOP_WITHIN, stopping).await;
                     }
                     let job = Job { address, parcel: &parcel, mem_mb, timeout };
                     let noted = |note| core.input(Input::Noted { id: id.clone(), execution, note });
@@ -300,18 +303,18 @@
         self.address
     }
 
-    /// Goes on serving until all that was taken is answered and no new calls come; what is still open when
+    /// Goes on serving until all that was taken is answered and no new statements come; what is still open when
     /// its time is over is aborted.
     pub async fn shut_down(self) {
         let began = Instant::now();
         slog::info!(self.core.log, "closing");
-        let mut calls = (self.front.calls.get(), began);
+        let mut last = (self.front.begun.get(), began);
         while began.elapsed() < self.leave_within + LEAVE_SLACK {
             sleep(Duration::from_millis(20)).await;
-            if self.front.calls.get() != calls.0 {
-                calls = (self.front.calls.get(), Instant::now());
+            if self.front.begun.get() != last.0 {
+                last = (self.front.begun.get(), Instant::now());
             }
-            let quiet = calls.1.elapsed() >= LEAVE_AT_LEAST / 3 && began.elapsed() >= LEAVE_AT_LEAST;
+            let quiet = last.1.elapsed() >= LEAVE_AT_LEAST / 3 && began.elapsed() >= LEAVE_AT_LEAST;
             if quiet && self.core.reducer.borrow().open() == 0 {
                 break;
             }
