While the list is silent, engines set aside get nothing: they may be gone and count as told

Cause: what the name service has to tell counts as told after some seconds even if no word came, and an engine set aside gets one execution a pause. Probe by the reducer alone: one of three engines refuses, a statement each 50 ms for 10 s; it was last tried after 6.7 s and would have gone on every 4 s. Lines at fault: choice.rs, list_is_known, which knew only of lists that must be asked for. Now last tried within 3 s, and again once the list is heard. The asker tells of 3 s without an answer. Also guards against drained engines that refuse; hurts where engines recover and the list does not.

--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -75,6 +75,15 @@
     Ok(Listed { entry, address })
 }
 
+/// What the name service lets know.
+#[derive(Debug)]
+pub enum Word {
+    /// The list, once it is another one than before, or known again.
+    List(Known),
+    /// Nothing usable for a while: the list may be old.
+    Silent,
+}
+
 /// Asks the name service for as long as it is polled.
 pub struct Asker {
     socket: UdpSocket,
@@ -83,8 +92,9 @@
     no: u64,
     earlier: u32,
     next: Instant,
-    /// Questions in a row without a usable answer.
+    /// Questions in a row without a usable answer, and whether that was told.
     unanswered: u32,
+    silent: bool,
     log: Logger,
 }
 
@@ -99,20 +109,31 @@
         socket.connect(server).await?;
         let name = Name::from_str(SERVICE).map_err(std::io::Error::other)?;
         let next = Instant::now();
-        Ok(Asker { socket, rng: WyRand::new_seed(seed), name, no, earlier: 0, next, unanswered: 0, log })
+        Ok(Asker {
+            socket,
+            rng: WyRand::new_seed(seed),
+            name,
+            no,
+            earlier: 0,
+            next,
+            unanswered: 0,
+            silent: false,
+            log,
+        })
     }
 
-    /// The list, once it is another one than before.
-    pub async fn change(&mut self) -> Known {
+    pub async fn change(&mut self) -> Word {
         loop {
             tokio::time::sleep_until(self.next).await;
             self.next = Instant::now() + EVERY;
+            if let Some(known) = self.ask().await {
+                return Word::List(known);
+            }
             self.unanswered = self.unanswered.saturating_add(1);
-            if self.unanswered == SILENT {
+            if self.unanswered > SILENT && !self.silent {
+                self.silent = true;
                 slog::warn!(self.log, "name service silent: the list may be old"; "no" => self.no);
-            }
-            if let Some(known) = self.ask().await {
-                return known;
+                return Word::Silent;
             }
         }
     }
@@ -137,10 +158,6 @@
                 continue;
             }
             let Some(known) = read_answer(&answer, &self.name) else { continue };
-            if self.unanswered > SILENT {
-                slog::info!(self.log, "name service answers again"; "unanswered" => self.unanswered);
-            }
-            self.unanswered = 0;
             return self.news(known);
         }
     }
@@ -148,11 +165,15 @@
     /// A list of the same number is no news, one of an earlier number a late word or another server's.
     fn news(&mut self, known: Known) -> Option<Known> {
         self.earlier = if known.no < self.no { self.earlier + 1 } else { 0 };
-        if known.no == self.no || known.no < self.no && self.earlier < GONE_BACK {
+        if known.no < self.no && self.earlier < GONE_BACK {
             return None;
         }
-        (self.no, self.earlier) = (known.no, 0);
-        Some(known)
+        let news = known.no != self.no || self.silent;
+        if self.silent {
+            slog::info!(self.log, "name service answers again"; "unanswered" => self.unanswered);
+        }
+        (self.no, self.earlier, self.unanswered, self.silent) = (known.no, 0, 0, false);
+        news.then_some(known)
     }
 }
 
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -182,8 +182,9 @@
     most: usize,
     one_at_a_time: bool,
     tick: Duration,
-    /// The list as last heard.
+    /// The list as last heard, and whether nothing has been heard of it for a while.
     engines: HashMap<Id, Listed>,
+    silent: bool,
     due: BTreeMap<DueAt, Due>,
     dues: u64,
     /// What the decisions have yet to hear of.
@@ -208,6 +209,7 @@
             open: 0,
             most,
             engines: HashMap::new(),
+            silent: false,
             due: BTreeMap::new(),
             dues: 0,
             news: VecDeque::new(),
@@ -417,6 +419,7 @@
         if matches!(kind, ListKind::All | ListKind::Remembered) {
             self.engines.clear();
         }
+        self.silent = kind == ListKind::Failed;
         let entries = list.iter().map(|listed| listed.entry.clone()).collect();
         for listed in list {
             self.engines.insert(listed.entry.id.clone(), listed);
@@ -462,7 +465,8 @@
             Action::Timer { mark, delay } => {
                 self.set(now + delay, Due::Mark(mark));
             }
-            // The list is always followed: what is asked for is here already.
+            // The list is always followed: what is asked for is here already, or comes once there is word again.
+            Action::Watch if self.silent => {}
             Action::Watch => {
                 let entries = self.engines.values().map(|listed| listed.entry.clone()).collect();
                 self.news.push_back(Event::Engines(ListKind::All, entries));
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -3,7 +3,7 @@
 use crate::config::{Bounds, Start};
 use crate::engines::{Engines, Job};
 use crate::front::Front;
-use crate::names::Asker;
+use crate::names::{Asker, Word};
 use crate::peers::Peers;
 use crate::reducer::{Answer, Effect, Input, Reducer};
 use actix_rt::net::TcpListener;
@@ -190,7 +190,13 @@
 
     async fn follow_list(self: Rc<Self>, mut asker: Asker) {
         loop {
-            let known = asker.change().await;
+            let known = match asker.change().await {
+                Word::List(known) => known,
+                Word::Silent => {
+                    self.input(Input::Engines(ListKind::Failed, Vec::new()));
+                    continue;
+                }
+            };
             slog::info!(self.log, "list of engines"; "no" => known.no, "engines" => known.list.len());
             let addresses: HashSet<SocketAddr> = known.list.iter().map(|listed| listed.address).collect();
             let gone = !self.addresses.borrow().is_subset(&addresses);
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway on loopback, against small stand-ins for engines, clients, the name service and other gateways.
 
-use bramblewharf_gateway::names::{read_answer, Asker};
+use bramblewharf_gateway::names::{read_answer, Asker, Word};
 use bramblewharf_gateway::{config, Gateway};
 use hickory_proto::op::{Message, MessageType};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
@@ -582,11 +582,31 @@
         let mut asker =
             Asker::start(names, 1, 7, slog::Logger::root(slog::Discard, slog::o!())).await.unwrap();
         for no in [5, 7, 4] {
-            assert_eq!(tokio::time::timeout(LONG, asker.change()).await.unwrap().no, no);
+            let word = tokio::time::timeout(LONG, asker.change()).await.unwrap();
+            assert!(matches!(word, Word::List(known) if known.no == no));
         }
     });
 }
 
+/// A name service that has been silent says so once, and its first answer counts even if nothing has changed.
+#[test]
+fn a_silent_name_service_is_told_and_its_return_too() {
+    let address = nobody();
+    let (names, _asked) = name_service(move |number, id| match number {
+        0 | 24.. => vec![list_answer(id, 5, &[("x", address, 0)])],
+        _ => Vec::new(),
+    });
+    actix_rt::System::new().block_on(async {
+        let mut asker =
+            Asker::start(names, 5, 7, slog::Logger::root(slog::Discard, slog::o!())).await.unwrap();
+        let mut words = Vec::new();
+        while words.len() < 2 {
+            words.push(tokio::time::timeout(LONG, asker.change()).await.unwrap());
+        }
+        assert!(matches!(&words[..], [Word::Silent, Word::List(known)] if known.no == 5), "{words:?}");
+    });
+}
+
 #[test]
 fn an_answer_is_a_whole_list_or_none() {
     let service = Name::from_ascii(SERVICE).unwrap();
--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -189,6 +189,44 @@
     assert_eq!(r.held(), 0);
 }
 
+/// While nothing is heard of the list, an engine that looks gone may be gone for longer than may be told late.
+#[test]
+fn while_the_list_is_silent_what_looks_gone_is_left_alone() {
+    for silent in [false, true] {
+        let mut r = reducer(true, 9);
+        let list = || Input::Engines(ListKind::All, vec![listed("a"), listed("b"), listed("c")]);
+        r.step(START, list());
+        if silent {
+            r.step(START, Input::Engines(ListKind::Failed, Vec::new()));
+        }
+        // Engine `a` refuses, the others complete; a statement each 50 ms for 10 s.
+        let (mut last, mut now) = (START, START);
+        for n in 0..200u64 {
+            now = START + ms(50 * n);
+            let id = format!("s{n}");
+            let mut effects = r.step(now, statement(&id, n, 0, 1000));
+            let mut execution = 0;
+            while let [Effect::Start { engine, .. }] = &effects[..] {
+                let gone = &**engine == "a";
+                last = if gone { now } else { last };
+                let outcome = if gone { Outcome::Refused } else { Outcome::Completed };
+                effects = r.step(now, ended(&id, execution, outcome));
+                execution += 1;
+            }
+        }
+        assert_eq!(last < START + ms(3000), silent, "last tried after {:?}", last - START);
+        // Heard of again, it is tried again.
+        r.step(now, list());
+        let tried = (0..200u64).any(|n| {
+            let (at, id) = (now + ms(50 * n), format!("t{n}"));
+            let engine = engine_of(&r.step(at, statement(&id, n, 0, 1000)));
+            r.step(at, ended(&id, 0, Outcome::Completed));
+            engine == "a"
+        });
+        assert!(tried);
+    }
+}
+
 /// What the generated inputs below have seen, and what must hold of each effect.
 #[derive(Default)]
 struct Seen {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -105,8 +105,7 @@
     usual_told: Mean,
     told_at: Duration,
     usual_pace: Mean,
-    /// Where the list must be asked for: when next (none while an answer is due or we are subscribed),
-    /// whether subscribed, when it was last had, and whether the last call failed.
+    /// The list: when to ask next (none: answer due, or subscribed), subscribed, when had, whether it failed.
     list_due: Option<Duration>,
     subscribed: bool,
     list_at: Duration,
@@ -215,8 +214,7 @@
         self.stmts.insert(id.clone(), stmt);
         self.drive(now, &id, Input::Turn);
     }
-    /// The mechanism: round-robin from one past the last choice, to the first engine that fits; where some
-    /// have less against them, to the first of those.
+    /// The mechanism: round-robin from one past the last choice, to the first fit with least against it.
     fn choose(&mut self, now: Duration, id: &Id) -> Input {
         let stmt = &self.stmts[id];
         if stmt.out() {
@@ -317,7 +315,7 @@
         let broken = [
             (Rule::OneAnswer, stmt.state == State::Over || late || tries >= self.site.execution_limit),
             (Rule::NoDoubleEffect, !self.repeat_is_harmless(now, stmt, row, to)),
-            (Rule::Drain, to.entry.state != EngineState::In || !self.list_is_known(now)),
+            (Rule::Drain, to.entry.state != EngineState::In || !self.list_is_known(now, to)),
             (Rule::Order, !self.has_turn(now, stmt)),
             (Rule::Placement, bound(&row.terms.zones, &to.entry.zone)),
             (Rule::Placement, bound(&row.terms.kinds, &to.entry.kind)),
@@ -340,10 +338,12 @@
                 Effect::Deduplicated(group) => now < x.sent + row.terms.dedup_span && near(x, group),
             })
     }
-    /// Where the list must be asked for, one that is too old may hide a drain.
-    fn list_is_known(&self, now: Duration) -> bool {
+    /// Where the list must be asked for, one that is too old may hide a drain. While it fails, an engine that
+    /// looks bad may be gone, whatever the cause; could hurt where engines recover and the list does not.
+    fn list_is_known(&self, now: Duration, to: &Engine) -> bool {
         let span = self.site.list_ask_every * if self.list_failed { 4 } else { 1 };
-        !self.site.list_is_asked || self.subscribed || now < self.list_at + span
+        let gone = self.list_failed && to.aside.is_some() && !self.trouble_is_common();
+        !gone && (!self.site.list_is_asked || self.subscribed || now < self.list_at + span)
     }
     /// This gateway's share of what a cold engine stands, in the window before now. Where slices are crumbs
     /// one gateway at a time has it, by turns of a window each; a window meets two turns, so a turn has half.
