--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -5,6 +5,7 @@
 use hickory_proto::op::{Message, MessageType};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record};
+use quickcheck::{Arbitrary, Gen};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -46,7 +47,7 @@
 enum Reply {
     Answer(u16, String, Vec<u8>),
     /// These bytes, and the end of the connection, or nothing more.
-    Cut(&'static [u8]),
+    Cut(Vec<u8>),
     Frozen(&'static [u8]),
     Reset,
     Silent,
@@ -92,7 +93,7 @@
                     let _ = write.write_all(&[head.as_bytes(), &body].concat());
                 }
                 Reply::Cut(bytes) => {
-                    let _ = write.write_all(bytes);
+                    let _ = write.write_all(&bytes);
                     let _ = stream.shutdown(Shutdown::Both);
                     return;
                 }
@@ -290,8 +291,9 @@
 #[test]
 fn what_is_not_whole_is_no_result() {
     type Script = fn(&Call) -> Reply;
-    let ill: [Script; 11] = [
-        |_| Reply::Cut(b"SMTP ready\r\n\r\n"),
+    let ill: [Script; 12] = [
+        |_| answer(200, &format!("X-Long: {}\r\n", "x".repeat(200_000)), b""),
+        |_| Reply::Cut(b"SMTP ready\r\n\r\n".to_vec()),
         |_| answer(200, "", b"a\tb\tc\n"),
         |_| answer(200, "Page-Count: 0\r\n", b""),
         |_| answer(200, "Page-Count: 99999999999\r\n", b"a\tb\tc\n"),
@@ -309,7 +311,7 @@
         },
         |call| match call.path.as_str() {
             "/x" | "/x/0000000000000001/0" => answer(200, "Page-Count: 2\r\n", b"a\tb\tc\n"),
-            _ => Reply::Cut(b"HTTP/1.1 200 X\r\nContent-Length: 60\r\nPage-No: 1\r\n\r\na\tb"),
+            _ => Reply::Cut(b"HTTP/1.1 200 X\r\nContent-Length: 60\r\nPage-No: 1\r\n\r\na\tb".to_vec()),
         },
     ];
     for (at, script) in ill.into_iter().enumerate() {
@@ -466,6 +468,45 @@
     drop(idle);
 }
 
+/// Bytes of no protocol from clients and engines cost no more than the call they came in.
+#[test]
+fn garbage_costs_one_call() {
+    let mut gen = Gen::from_size_and_seed(300, 5);
+    let mut garbage = move |at: usize| {
+        let noise = Vec::<u8>::arbitrary(&mut gen);
+        // A beginning that makes sense leads further in.
+        let lead: &[u8] = [
+            &b""[..],
+            b"POST /svc/read HTTP/1.1\r\n",
+            b"HTTP/1.1 200 X\r\n",
+            b"HTTP/1.1 202 X\r\nX-Remark: ",
+        ][at % 4];
+        [lead, &noise].concat()
+    };
+    let noise: Vec<Vec<u8>> = (0..80).map(&mut garbage).collect();
+    let replies = Mutex::new((noise.clone(), 0));
+    // One call in four: further executions are rationed.
+    let ill = Engine::start(move |_| {
+        let (noise, calls) = &mut *replies.lock().unwrap();
+        *calls += 1;
+        match (*calls % 4 == 0).then(|| noise.pop()).flatten() {
+            Some(noise) => Reply::Cut(noise),
+            None => answer(200, "Page-Count: 1\r\n", b"ill\t1\tx\n"),
+        }
+    });
+    let well = Engine::well();
+    let served = Served::before(&[well.address, ill.address]);
+    for (id, noise) in noise.into_iter().enumerate() {
+        let mut stream = served.connect();
+        // The gateway may close before all of it is read.
+        let _ = stream.write_all(&noise).and_then(|()| stream.shutdown(Shutdown::Write));
+        let _ = stream.read_to_end(&mut Vec::new());
+        for more in 0..4 {
+            assert_eq!(served.ask(&call("read", 4 * id as u64 + more, 60_000, "")).status, 200);
+        }
+    }
+}
+
 #[test]
 fn calls_may_come_in_pieces_and_ahead_of_answers() {
     let engine = Engine::well();
