Statements that take over 250 ms have a path to come back to: a broken connection costs no answer

Why: a statement held on its first call for up to 25 s ended with its connection, and a client that vanished without a word was worked for until its time was over. The protocol's paths mend both: a call that broke is made again, and who stays away for 2 s has left.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -60,7 +60,8 @@
 const LEAST_MEMORY_MB: f64 = 32.0;
 /// Of all descriptors, what clients may hold; they hold a third by themselves. What is left is for engines.
 const CLIENTS: f64 = 0.36;
-/// A statement at most holds its text, its result as pages and the answer written from them.
+/// A statement at most holds its text, its result as pages, twice over the answer written from them, and the kept
+/// result of one that is over.
 const STATEMENT: usize = 64 * 1024;
 const PAGE: usize = 8 * 1024;
 const RESULT: usize = 96 * 1024;
@@ -197,7 +198,7 @@
     let clients = (sockets as f64 * CLIENTS) as usize;
     let engines = sockets - RESERVED - clients;
     let held = ((memory - BASE).max(8e6) - (clients + engines) as f64 * CONNECTION).max(4e6);
-    let by_memory = (held / (STATEMENT + 2 * RESULT) as f64) as usize;
+    let by_memory = (held / (STATEMENT + 4 * RESULT) as f64) as usize;
     // An execution holds one connection at a time, and its cancel another. Of clients' connections some are
     // left over for those that are rejected.
     let stmts = (engines * 4 / 5).min(clients * 3 / 4).min(by_memory.max(16));
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,9 +1,11 @@
 //! The clients' side: HTTP by actix-http. It turns calls into the reducer's inputs and answers into calls'
 //! answers, and decides nothing.
 
+use crate::config::Bounds;
 use crate::link::{Line, Lines, Link};
 use crate::reducer::{Answer, Input, Parcel, Taken};
 use crate::runtime::Core;
+use crate::sessions::Sessions;
 use crate::tables;
 use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderMap, HeaderValue};
@@ -34,6 +36,11 @@
 const LONGEST_WAIT_MS: u64 = 24 * 3600 * 1000;
 const HEALTH: &str = "/status/live";
 const STATEMENTS: &str = "/svc/";
+/// Where a client comes back for the answer of a statement that takes longer than the first time; it is then held for
+/// so long as the second, if there is no answer yet.
+const NEXT: &str = "next/";
+const FIRST_WITHIN: Duration = Duration::from_millis(250);
+const NEXT_WITHIN: Duration = Duration::from_secs(2);
 
 /// What the accept loop and the closing gateway know of the connections.
 pub struct Front {
@@ -41,14 +48,18 @@
     open: Cell<usize>,
     closed: Notify,
     most: usize,
+    pub sessions: Rc<Sessions>,
     /// Statements that began to come since the start.
     pub begun: Cell<u64>,
 }
 
 impl Front {
-    pub fn new(most: usize) -> Rc<Front> {
+    pub fn new(bounds: &Bounds) -> Rc<Front> {
         let lines = Rc::new(Lines::new(IDLE, false));
-        Rc::new(Front { lines, open: Cell::new(0), closed: Notify::new(), most, begun: Cell::new(0) })
+        // Answers are kept for a while after they were given.
+        let sessions = Rc::new(Sessions::new(2 * bounds.stmts));
+        let (open, begun) = (Cell::new(0), Cell::new(0));
+        Rc::new(Front { lines, open, closed: Notify::new(), most: bounds.clients, sessions, begun })
     }
 
     /// Accepts for as long as it is polled.
@@ -115,10 +126,23 @@
             (&Method::POST, Some(workload)) => {
                 self.begun.set(self.begun.get() + 1);
                 let workload = workload.rsplit('/').next().unwrap_or(workload).to_string();
-                statement(&core, &workload, request.headers(), payload, line).await
+                statement(&core, &self.sessions, &workload, request.headers(), payload, line).await
+            }
+            (&Method::GET, Some(path)) => {
+                match self.sessions.get(path.strip_prefix(NEXT).unwrap_or_default()) {
+                    Some(session) => {
+                        let answer = session.wait(NEXT_WITHIN, ended(line.as_deref())).await;
+                        next(&session.id, answer)
+                    }
+                    None => refusal(StatusCode::NOT_FOUND, "no such result"),
+                }
+            }
+            (&Method::DELETE, Some(path)) => {
+                match self.sessions.remove(&core, path.strip_prefix(NEXT).unwrap_or_default()) {
+                    true => Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(())),
+                    false => refusal(StatusCode::NOT_FOUND, "no such result"),
+                }
             }
-            // Whole answers are given out, never the path of a next page: nothing is known by a path.
-            (&Method::GET | &Method::DELETE, Some(_)) => refusal(StatusCode::NOT_FOUND, "no such result"),
             (_, Some(_)) => refusal(StatusCode::METHOD_NOT_ALLOWED, "method not allowed"),
             (_, None) if request.path() == HEALTH => {
                 refusal(StatusCode::METHOD_NOT_ALLOWED, "method not allowed")
@@ -128,6 +152,14 @@
     }
 }
 
+/// Returns once the client has closed its side of the connection.
+async fn ended(line: Option<&Line>) {
+    match line {
+        Some(line) => line.ended().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// While it lives, a call is open on the connection.
 struct Open(Rc<Line>);
 
@@ -155,6 +187,7 @@
 
 async fn statement(
     core: &Rc<Core>,
+    sessions: &Rc<Sessions>,
     workload: &str,
     headers: &HeaderMap,
     payload: Payload,
@@ -181,40 +214,51 @@
     asked.0.table_group = tables::group(&text);
     asked.1.statement = text;
     let id = asked.0.id.clone();
-    let (caller, answer) = core.expect();
+    let (caller, mut answer) = core.expect();
     let mut waiting = Waiting { core: core.clone(), id: Some(id.clone()), caller };
     core.input(Input::Statement(Taken { caller, said: asked.0, parcel: asked.1 }));
     let left = async {
-        match &line {
-            Some(line) => line.ended().await,
-            None => std::future::pending().await,
-        }
+        ended(line.as_deref()).await;
         // The client has left, or sends no more: with either, no answer is awaited for long.
-        core.input(Input::Left(id));
+        core.input(Input::Left(id.clone()));
         std::future::pending::<Infallible>().await
     };
-    let answer = tokio::select! {
+    let answered = tokio::select! {
         biased;
-        answer = answer => answer,
+        answered = &mut answer => Some(answered.unwrap_or(Answer::Aborted)),
         never = left => match never {},
+        () = sleep(FIRST_WITHIN), if sessions.have_room() => None,
     };
     waiting.id = None;
+    if answered.is_none() {
+        sessions.open(core, id.clone(), answer);
+    }
+    if answered == Some(Answer::InUse) {
+        core.bad_call();
+    }
+    next(&id, answered)
+}
+
+/// The answer, or the path to come back to.
+fn next(id: &str, answer: Option<Answer>) -> Response<BoxBody> {
     match answer {
-        Ok(Answer::Completed(pages)) => completed(&pages),
-        Ok(Answer::Rejected(retry_in)) => {
-            let mut response =
-                json(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"{\"abort\":\"Busy\"}"));
+        None => json(
+            StatusCode::OK,
+            serde_json::json!({ "link": format!("{STATEMENTS}{NEXT}{id}") }).to_string().into(),
+        ),
+        Some(Answer::Completed(pages)) => completed(&pages),
+        Some(Answer::Rejected(retry_in)) => {
+            let mut response = refusal(StatusCode::SERVICE_UNAVAILABLE, "Busy");
             if let Some(retry_in) = retry_in {
                 let wait = HeaderValue::from(retry_in.as_millis() as u64);
                 response.headers_mut().insert(header::HeaderName::from_static("x-pushback-ms"), wait);
             }
             response
         }
-        Ok(Answer::InUse) => {
-            core.bad_call();
+        Some(Answer::InUse) => {
             refusal(StatusCode::CONFLICT, "X-Correlation-Id: is that of a statement still held")
         }
-        Ok(Answer::Aborted) | Err(_) => refusal(StatusCode::INTERNAL_SERVER_ERROR, "Failed"),
+        Some(Answer::Aborted) => refusal(StatusCode::INTERNAL_SERVER_ERROR, "Failed"),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod peers;
 pub mod reducer;
 mod runtime;
+mod sessions;
 pub mod tables;
 
 pub use runtime::Gateway;
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -84,7 +84,7 @@
 }
 
 /// The one final answer of a statement.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     Completed(Vec<Bytes>),
     Rejected(Option<Duration>),
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -275,7 +275,7 @@
         });
         first.into_iter().for_each(|effect| core.carry_out(effect));
         core.input(Input::Engines(ListKind::Remembered, start.known.list));
-        let front = Front::new(core.bounds.clients);
+        let front = Front::new(&core.bounds);
         slog::info!(core.log, "serving"; "name" => start.name, "listen" => %address,
             "bounds" => ?core.bounds);
         let mut tasks =
@@ -321,7 +321,7 @@
                 last = (self.front.begun.get(), Instant::now());
             }
             let quiet = last.1.elapsed() >= LEAVE_AT_LEAST / 3 && began.elapsed() >= LEAVE_AT_LEAST;
-            if quiet && self.core.reducer.borrow().open() == 0 {
+            if quiet && self.core.reducer.borrow().open() == 0 && self.front.sessions.owed() == 0 {
                 break;
             }
         }
--- /dev/null
+++ b/crates/gateway/src/sessions.rs
@@ -0,0 +1,146 @@
+//! Statements whose clients come back for the answer: one that takes long is answered with a path first, so that neither a
+//! broken connection nor a client that vanished without a word decides over it for long.
+
+use crate::reducer::{Answer, Input};
+use crate::runtime::Core;
+use actix_rt::time::{sleep, timeout};
+use bramblewharf::interface::Id;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, Notify};
+
+/// A client that does not come back for so long has left, and an answer is kept for so long after it was asked for.
+const ABSENT: Duration = Duration::from_secs(2);
+/// How often that is looked at.
+const LOOK: Duration = Duration::from_millis(250);
+
+pub struct Session {
+    pub id: Id,
+    answer: RefCell<Option<Answer>>,
+    answered: Notify,
+    /// Calls that wait now, and when the last one ended.
+    waiting: Cell<usize>,
+    seen: Cell<Instant>,
+    /// The answer was handed to a call.
+    handed: Cell<bool>,
+}
+
+/// Bounded by `most`; emptied of a session once its client has been absent.
+pub struct Sessions {
+    by_id: RefCell<HashMap<Id, Rc<Session>>>,
+    most: usize,
+}
+
+impl Sessions {
+    pub fn new(most: usize) -> Sessions {
+        Sessions { by_id: RefCell::default(), most }
+    }
+
+    pub fn have_room(&self) -> bool {
+        self.by_id.borrow().len() < self.most
+    }
+
+    /// Answers that no call has been given yet.
+    pub fn owed(&self) -> usize {
+        self.by_id.borrow().values().filter(|session| !session.handed.get()).count()
+    }
+
+    pub fn get(&self, id: &str) -> Option<Rc<Session>> {
+        self.by_id.borrow().get(id).cloned()
+    }
+
+    /// The client does not want it any longer.
+    pub fn remove(&self, core: &Rc<Core>, id: &str) -> bool {
+        let session = self.by_id.borrow_mut().remove(id);
+        if let Some(session) = &session {
+            if session.answer.borrow().is_none() {
+                core.input(Input::Left(session.id.clone()));
+            }
+        }
+        session.is_some()
+    }
+
+    /// From now on the answer is to be had by coming back.
+    pub fn open(self: &Rc<Self>, core: &Rc<Core>, id: Id, mut answer: oneshot::Receiver<Answer>) {
+        let session = Rc::new(Session {
+            id: id.clone(),
+            answer: RefCell::default(),
+            answered: Notify::new(),
+            waiting: Cell::new(0),
+            seen: Cell::new(Instant::now()),
+            handed: Cell::new(false),
+        });
+        self.by_id.borrow_mut().insert(id.clone(), session.clone());
+        let (sessions, core) = (self.clone(), core.clone());
+        actix_rt::spawn(async move {
+            loop {
+                tokio::select! {
+                    biased;
+                    answer = &mut answer => {
+                        session.give(answer.unwrap_or(Answer::Aborted));
+                        break;
+                    }
+                    () = sleep(LOOK) => {
+                        if session.absent() {
+                            // Its answer comes at once, by the same way.
+                            core.input(Input::Left(id.clone()));
+                        }
+                    }
+                }
+            }
+            while !session.absent() {
+                sleep(LOOK).await;
+            }
+            let mut by_id = sessions.by_id.borrow_mut();
+            // Another statement may have the id by now.
+            if by_id.get(&id).is_some_and(|now| Rc::ptr_eq(now, &session)) {
+                by_id.remove(&id);
+            }
+        });
+    }
+}
+
+impl Session {
+    fn give(&self, answer: Answer) {
+        self.answer.replace(Some(answer));
+        self.answered.notify_waiters();
+    }
+
+    fn absent(&self) -> bool {
+        self.waiting.get() == 0 && self.seen.get().elapsed() > ABSENT
+    }
+
+    /// The answer, if it comes within `within` and before `gone`.
+    pub async fn wait(
+        &self,
+        within: Duration,
+        gone: impl std::future::Future<Output = ()>,
+    ) -> Option<Answer> {
+        self.waiting.set(self.waiting.get() + 1);
+        let _call = Calling(self);
+        let answered = async {
+            while self.answer.borrow().is_none() {
+                self.answered.notified().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            _ = timeout(within, answered) => {}
+            () = gone => return None,
+        }
+        let answer = self.answer.borrow().clone();
+        self.handed.set(answer.is_some());
+        answer
+    }
+}
+
+struct Calling<'a>(&'a Session);
+
+impl Drop for Calling<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.set(self.0.waiting.get() - 1);
+        self.0.seen.set(Instant::now());
+    }
+}
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -203,10 +203,27 @@
     fn ask(&self, call: &str) -> Answered {
         let mut stream = self.connect();
         stream.write_all(call.as_bytes()).unwrap();
+        Answered::last(&mut BufReader::new(stream))
+    }
+
+    /// Asks beside what else the test does.
+    fn ask_aside(&self, call: String) -> JoinHandle<Answered> {
+        ask_aside(self.connect(), call)
+    }
+
+    fn get(&self, method: &str, path: &str) -> Answered {
+        let mut stream = self.connect();
+        stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n").as_bytes()).unwrap();
         Answered::read(&mut BufReader::new(stream))
     }
 }
 
+fn ask_aside(mut stream: TcpStream, call: String) -> JoinHandle<Answered> {
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream.write_all(call.as_bytes()).unwrap();
+    std::thread::spawn(move || Answered::last(&mut BufReader::new(stream)))
+}
+
 struct Answered {
     status: u16,
     headers: HashMap<String, String>,
@@ -219,6 +236,16 @@
         let status = first.split(' ').nth(1).unwrap().parse().unwrap();
         Answered { status, headers, body: serde_json::from_slice(&body).unwrap_or(Value::Null) }
     }
+
+    /// Comes back on the same connection for as long as it is told to.
+    fn last(from: &mut BufReader<TcpStream>) -> Answered {
+        loop {
+            let answered = Answered::read(from);
+            let Some(link) = answered.body["link"].as_str() else { return answered };
+            let call = format!("GET {link} HTTP/1.1\r\nHost: h\r\n\r\n");
+            from.get_mut().write_all(call.as_bytes()).unwrap();
+        }
+    }
 }
 
 fn call(workload: &str, id: u64, deadline_ms: u64, more: &str) -> String {
@@ -385,7 +412,6 @@
     let served = Served::before(&[engine.address]);
     let mut stream = served.connect();
     stream.write_all(call("read", 9, 60_000, "").as_bytes()).unwrap();
-    engine.wait(|call| call.method == "POST");
     stream.shutdown(Shutdown::Write).unwrap();
     assert_eq!(Answered::read(&mut BufReader::new(stream)).status, 500);
 }
@@ -432,6 +458,48 @@
     assert_eq!(served.ask(&good).status, 200);
 }
 
+/// A statement that takes long has a path to come back to: neither a broken connection nor a call made again costs its
+/// answer, and whoever gives it up or stays away ends the work.
+#[test]
+fn a_long_statement_is_come_back_for() {
+    let open = Arc::new(Mutex::new(false));
+    let gate = open.clone();
+    let engine = Engine::start(move |_| match *gate.lock().unwrap() {
+        true => answer(200, "Page-Count: 1\r\n", b"done\n"),
+        false => answer(202, "", b""),
+    });
+    let served = Served::before(&[engine.address]);
+    // Each of these connections is closed as soon as the path is here.
+    let path = |id| {
+        let mut stream = served.connect();
+        stream.write_all(call("read", id, 60_000, "").as_bytes()).unwrap();
+        let answered = Answered::read(&mut BufReader::new(stream));
+        answered.body["link"].as_str().expect("a path").to_string()
+    };
+    let deleted = |id: u64| {
+        let path = format!("/x/{id:016x}");
+        engine.wait(move |call| call.method == "DELETE" && call.path == path);
+    };
+    let given_up = path(1);
+    assert_eq!(served.get("DELETE", &given_up).status, 204);
+    deleted(1);
+    assert_eq!(served.get("GET", &given_up).status, 404);
+    path(2);
+    deleted(2);
+    let kept = path(3);
+    let mut broken = served.connect();
+    broken.write_all(format!("GET {kept} HTTP/1.1\r\nHost: h\r\n\r\n").as_bytes()).unwrap();
+    drop(broken);
+    *open.lock().unwrap() = true;
+    for _ in 0..2 {
+        let mut answered = served.get("GET", &kept);
+        while answered.body["link"].is_string() {
+            answered = served.get("GET", &kept);
+        }
+        assert_eq!(answered.body, json!({"values": [["done"]]}));
+    }
+}
+
 /// With all descriptors in use new calls are rejected or wait for one, and none is lost; idle ones make room.
 #[test]
 fn at_its_bounds_it_rejects_early_and_recovers() {
@@ -453,16 +521,14 @@
     let idle: Vec<TcpStream> = (0..bounds.clients + 8).map(|_| served.connect()).collect();
     let mut held = Vec::new();
     for id in 0..bounds.stmts as u64 {
-        let mut stream = served.connect();
-        stream.write_all(call("read", id, 60_000, "").as_bytes()).unwrap();
+        held.push(served.ask_aside(call("read", id, 60_000, "")));
         engine.wait(|call| call.headers.get("x-ticket") == Some(&format!("{id:016x}")));
-        held.push(stream);
     }
     let rejected = served.ask(&call("read", 99, 60_000, ""));
     assert_eq!((rejected.status, rejected.body), (503, json!({"abort": "Busy"})));
     *open.lock().unwrap() = true;
-    for stream in held {
-        assert_eq!(Answered::read(&mut BufReader::new(stream)).status, 200);
+    for asked in held {
+        assert_eq!(asked.join().unwrap().status, 200);
     }
     assert_eq!(served.ask(&call("read", 100, 60_000, "")).status, 200);
     drop(idle);
@@ -534,16 +600,14 @@
         false => answer(202, "", b""),
     });
     let mut served = Served::before(&[engine.address]);
-    let mut held = served.connect();
-    held.write_all(call("read", 1, 60_000, "").as_bytes()).unwrap();
+    let held = served.ask_aside(call("read", 1, 60_000, ""));
     engine.wait(|call| call.method == "POST");
     served.stop.take().unwrap().send(()).unwrap();
-    let mut late = served.connect();
-    late.write_all(call("read", 2, 60_000, "").as_bytes()).unwrap();
+    let late = served.ask_aside(call("read", 2, 60_000, ""));
     engine.wait(|call| call.headers.get("x-ticket").is_some_and(|id| id.ends_with('2')));
     *open.lock().unwrap() = true;
-    for stream in [held, late] {
-        assert_eq!(Answered::read(&mut BufReader::new(stream)).body, json!({"values": [["done"]]}));
+    for asked in [held, late] {
+        assert_eq!(asked.join().unwrap().body, json!({"values": [["done"]]}));
     }
     served.thread.take().unwrap().join().unwrap();
     assert!(TcpStream::connect(served.address).is_err());
@@ -817,26 +881,24 @@
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
         child
     };
-    let ask = |id| {
-        let mut stream = TcpStream::connect(listen).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        stream.write_all(call("read", id, 60_000, "").as_bytes()).unwrap();
+    let ask = |id: u64| {
+        let asked = ask_aside(TcpStream::connect(listen).unwrap(), call("read", id, 60_000, ""));
         engine.wait(|call| call.headers.get("x-ticket") == Some(&format!("{id:016x}")));
-        BufReader::new(stream)
+        asked
     };
     let mut killed = start();
-    let mut lost = ask(1);
+    let lost = ask(1);
     killed.kill().unwrap();
     killed.wait().unwrap();
-    assert!(read_message(&mut lost).is_none());
+    assert!(lost.join().is_err());
     let mut again = start();
-    let mut held = ask(2);
+    let held = ask(2);
     let sent = std::process::Command::new("kill").args(["-TERM", &again.id().to_string()]).status().unwrap();
     assert!(sent.success());
-    let mut late = ask(3);
+    let late = ask(3);
     *gate.lock().unwrap() = true;
-    for answered in [&mut held, &mut late] {
-        assert_eq!(Answered::read(answered).body, json!({"values": [["done"]]}));
+    for asked in [held, late] {
+        assert_eq!(asked.join().unwrap().body, json!({"values": [["done"]]}));
     }
     assert_eq!(again.wait().unwrap().code(), Some(0));
     std::fs::remove_file(&file).unwrap();
