--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -14,6 +14,10 @@
 /// How long after a statement's time is over the gateway answers by itself, should the decisions not have.
 const GUARD: Duration = Duration::from_millis(15);
 
+/// Of a statement's time, what a timer may be late by and what the answer takes on its way: the decisions get the
+/// rest, so that a client is told before it stops waiting.
+const ON_ITS_WAY: Duration = Duration::from_millis(4);
+
 /// What goes on unchanged to an engine.
 #[derive(Debug)]
 pub struct Parcel {
@@ -289,7 +293,7 @@
     }
 
     fn take(&mut self, now: Duration, taken: Taken) {
-        let Taken { caller, said, parcel } = taken;
+        let Taken { caller, mut said, parcel } = taken;
         if self.stmts.contains_key(&said.id) {
             self.counts.id_in_use += 1;
             return self.effects.push(Effect::Answer { caller, answer: Answer::InUse });
@@ -301,6 +305,7 @@
         self.counts.taken += 1;
         self.open += 1;
         let open = self.set(now + said.time_left + GUARD, Due::Statement(said.id.clone()));
+        said.time_left = said.time_left.saturating_sub(ON_ITS_WAY);
         let stmt =
             Stmt { caller, parcel: Rc::new(parcel), mem_mb: 0.0, open: Some(open), executions: Vec::new() };
         self.stmts.insert(said.id.clone(), stmt);
@@ -402,7 +407,7 @@
             self.effects.push(Effect::Stop { id: id.clone(), execution, engine, address });
         }
         let open = self.stmts.get(id).and_then(|s| s.open);
-        let last = open.map_or(now, |(guard, _)| guard.saturating_sub(GUARD + self.tick));
+        let last = open.map_or(now, |(guard, _)| guard.saturating_sub(GUARD + ON_ITS_WAY + self.tick));
         if !self.one_at_a_time || now >= last {
             return self.end(now, id, execution, stopping.unwrap_or(outcome).into());
         }
--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -152,6 +152,21 @@
     assert_eq!(r.held(), 0);
 }
 
+/// The last answer leaves while the client still waits, with some time for its way.
+#[test]
+fn a_client_is_told_before_it_stops_waiting() {
+    for workload in [0, 1] {
+        let mut r = reducer(true, 9);
+        engine_of(&r.step(START, statement("s", 1, workload, 300)));
+        let (mut at, mut answered) = (START, Vec::new());
+        while answered.is_empty() {
+            at = r.due().expect("something is due");
+            answered = answers(r.step(at, Input::Wake));
+        }
+        assert!(at <= START + ms(300) - ms(4), "{:?}", at - START);
+    }
+}
+
 /// Where one execution may be out at a time, the next waits until the engine knows of the cancel.
 #[test]
 fn a_cancel_is_known_before_the_next_execution_goes_out() {
