Closing waits for clients to come back; every 4xx answer is counted

Read off the code: a short longest deadline could end the gateway before new connections stop, and an abort at the end waited for by a path had 0.1 s to be asked for.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -119,7 +119,7 @@
             Open(line.clone())
         });
         let payload = request.take_payload();
-        match (request.method(), request.path().strip_prefix(STATEMENTS)) {
+        let response = match (request.method(), request.path().strip_prefix(STATEMENTS)) {
             (&Method::GET, None) if request.path() == HEALTH => {
                 plain(StatusCode::OK, "{\"status\":\"live\"}")
             }
@@ -148,7 +148,11 @@
                 refusal(StatusCode::METHOD_NOT_ALLOWED, "method not allowed")
             }
             _ => refusal(StatusCode::NOT_FOUND, "no such path"),
+        };
+        if response.status().is_client_error() {
+            core.bad_call();
         }
+        response
     }
 }
 
@@ -195,17 +199,11 @@
 ) -> Response<BoxBody> {
     let mut asked = match read_head(core, workload, headers) {
         Ok(asked) => asked,
-        Err((status, why)) => {
-            core.bad_call();
-            return refusal(status, why);
-        }
+        Err((status, why)) => return refusal(status, why),
     };
     let text = match timeout(TEXT_WITHIN, read_text(payload, headers, core.bounds.statement)).await {
         Ok(Ok(text)) => text,
-        Ok(Err((status, why))) => {
-            core.bad_call();
-            return refusal(status, why);
-        }
+        Ok(Err((status, why))) => return refusal(status, why),
         Err(_) => return refusal(StatusCode::REQUEST_TIMEOUT, "the statement came too slowly"),
     };
     if let Some(line) = &line {
@@ -233,9 +231,6 @@
     if answered.is_none() {
         sessions.open(core, id.clone(), answer);
     }
-    if answered == Some(Answer::InUse) {
-        core.bad_call();
-    }
     next(&id, answered)
 }
 
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -25,14 +25,14 @@
 const SWEEP: Duration = Duration::from_millis(500);
 const FIGURES: Duration = Duration::from_secs(30);
 /// A gateway told to close serves at least so long, as new connections go on coming for a while.
-const LEAVE_AT_LEAST: Duration = Duration::from_millis(900);
+const LEAVE_AT_LEAST: Duration = Duration::from_millis(800);
 /// And it is over so long after the time that statements are given: no one is killed with an answer owed.
-const LEAVE_SLACK: Duration = Duration::from_millis(350);
+const LEAVE_SLACK: Duration = Duration::from_millis(300);
 /// A statement waits for its own cancel at an engine no longer than this before it goes there again: an engine
 /// that has begun to drain meanwhile must not be sent what was decided before.
 const STOP_WITHIN: Duration = Duration::from_millis(150);
-/// Time for the last answers to be written.
-const LAST_WORDS: Duration = Duration::from_millis(100);
+/// Time for the last answers to be written, and asked for where clients come back for them.
+const LAST_WORDS: Duration = Duration::from_millis(250);
 
 /// The Unix time as it was at the start, and one clock from then on, which no correction moves.
 struct Clock {
@@ -315,7 +315,7 @@
         let began = Instant::now();
         slog::info!(self.core.log, "closing");
         let mut last = (self.front.begun.get(), began);
-        while began.elapsed() < self.leave_within + LEAVE_SLACK {
+        while began.elapsed() < LEAVE_AT_LEAST.max(self.leave_within + LEAVE_SLACK) {
             sleep(Duration::from_millis(20)).await;
             if self.front.begun.get() != last.0 {
                 last = (self.front.begun.get(), Instant::now());
@@ -326,7 +326,11 @@
             }
         }
         self.core.input(Input::Close);
-        sleep(LAST_WORDS).await;
+        let closed = Instant::now();
+        sleep(LAST_WORDS / 4).await;
+        while self.front.sessions.owed() > 0 && closed.elapsed() < LAST_WORDS {
+            sleep(LAST_WORDS / 20).await;
+        }
         self.core.log_figures();
         slog::info!(self.core.log, "closed");
     }
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -613,6 +613,22 @@
     assert!(TcpStream::connect(served.address).is_err());
 }
 
+/// What takes longer than a gateway is given to close in gets an answer all the same.
+#[test]
+fn closing_ends_what_takes_longer() {
+    let engine = Engine::start(|_| answer(202, "", b""));
+    let mut configuration = configuration(&[engine.address]);
+    for row in configuration["settings"]["profiles"].as_array_mut().unwrap() {
+        row["deadlineUs"] = json!(600_000);
+    }
+    let mut served = Served::by(&configuration);
+    let held = served.ask_aside(call("once", 1, 60_000, ""));
+    engine.wait(|call| call.method == "POST");
+    served.stop.take().unwrap().send(()).unwrap();
+    assert_eq!(held.join().unwrap().body, json!({"abort": "Failed"}));
+    served.thread.take().unwrap().join().unwrap();
+}
+
 const SERVICE: &str = "_rpc._tcp.mesh.local.";
 
 /// The name service's answer: engines by id, address and priority.
