--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -83,6 +83,7 @@
             );
         let service = service.new_service(()).await.map_err(|()| io::Error::other("no service"))?;
         let service = Rc::new(service);
+        let mut refused = false;
         loop {
             // At the bound an idle connection makes room; where all are in use, new ones wait for one to end.
             while self.open.get() >= self.most {
@@ -90,9 +91,14 @@
                 let _ = timeout(AT_BOUND, self.closed.notified()).await;
             }
             match listener.accept().await {
-                Ok((stream, from)) => self.clone().connect(&service, stream, from),
+                Ok((stream, from)) => {
+                    refused = false;
+                    self.clone().connect(&service, stream, from);
+                }
                 Err(error) => {
-                    slog::warn!(core.log, "connection not accepted"; "error" => %error);
+                    if !std::mem::replace(&mut refused, true) {
+                        slog::warn!(core.log, "connection not accepted"; "error" => %error);
+                    }
                     sleep(Duration::from_millis(20)).await;
                 }
             }
