SIGHUP reloads the configuration; statements held are bounded by what they really hold

Ruled out: engines set aside (refused 2 to 4 executions in 5 s), descriptors (146 of 256).

Now the program holds SIGHUP from its first line; names, peers, peers_all and a later known take effect with no statement touched, the list's numbers go on, the rest is named in one line, a bad file leaves the old in force. The bounds count 8 MB, 24 kB and 256 kB. The name service's entries must be whole, a useless answer is followed by a question after 40 ms, late answers to the last eight questions count, and an earlier number must stay for half a minute (20 in a row were 3 s, which a bad service can send).

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -2,9 +2,12 @@
 
 use crate::{config, Gateway};
 use clap::{Parser, Subcommand};
+use signal_hook::consts::SIGHUP;
 use slog::{Drain as _, Logger};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 
 #[derive(Parser)]
 #[command(name = "bramblewharf", version, about = "A workload manager before analytic engines")]
@@ -15,7 +18,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serves clients until it is told to end.
+    /// Serves clients until it is told to end; SIGHUP has it read the configuration again.
     Serve {
         /// The configuration; else the file that EDGE_CONFIG names.
         #[arg(long)]
@@ -33,7 +36,7 @@
 /// Runs the program: 0 where it did what it was told, 1 where it could not, 2 for a bad command line.
 pub fn run() -> ExitCode {
     let done = match Line::parse().command {
-        Command::Serve { config } => config::load(config).and_then(serve),
+        Command::Serve { config } => serve(config),
         Command::CheckConfig { config } => config::load(config).map(|start| {
             println!(
                 "{}: {} workloads, {} engines known",
@@ -63,16 +66,31 @@
     Logger::root(drain, slog::o!())
 }
 
-fn serve(start: config::Start) -> Result<(), String> {
+fn serve(path: Option<PathBuf>) -> Result<(), String> {
+    // Before all else: a SIGHUP that comes before the gateway serves must not end it, nor get lost.
+    let hung_up = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGHUP, hung_up.clone()).map_err(|e| format!("signals: {e}"))?;
+    let start = config::load(path.clone())?;
     let log = logger();
     actix_rt::System::new().block_on(async {
         use tokio::signal::unix::{signal, SignalKind};
-        let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
-        let gateway = Gateway::start(start, log).await.map_err(|e| e.to_string())?;
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = interrupt.recv() => {}
+        let heard = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+        let (mut term, mut interrupt) = (heard(SignalKind::terminate())?, heard(SignalKind::interrupt())?);
+        let mut hangup = heard(SignalKind::hangup())?;
+        let gateway = Gateway::start(start, log.clone()).await.map_err(|e| e.to_string())?;
+        let reload = || match config::load(path.clone()) {
+            Ok(start) => gateway.reload(start),
+            Err(message) => slog::error!(log, "configuration not reloaded: {}", message),
+        };
+        if hung_up.load(Ordering::Relaxed) {
+            reload();
+        }
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => reload(),
+            }
         }
         gateway.shut_down().await;
         Ok(())
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -49,26 +49,46 @@
     pub engine_idle: Duration,
     /// How long statements that were taken may be answered once the gateway is told to close.
     pub leave_within: Duration,
+    pub at_start: AtStart,
+}
+
+/// What takes effect at a start only; the rest of the file does so at a reload too.
+const AT_START: [&str; 6] = ["name", "listen", "seed", "limits", "peer_listen", "settings"];
+
+/// What the file says under each of these keys.
+pub struct AtStart(Vec<Value>);
+
+impl AtStart {
+    fn read(value: &Value) -> AtStart {
+        AtStart(AT_START.iter().map(|key| value.get(key).cloned().unwrap_or(Value::Null)).collect())
+    }
+
+    /// The keys by which `newer` differs: they wait for a restart.
+    pub fn changed(&self, newer: &AtStart) -> Vec<&'static str> {
+        let both = AT_START.into_iter().zip(self.0.iter().zip(&newer.0));
+        both.filter(|(_, (old, new))| old != new).map(|(key, _)| key).collect()
+    }
 }
 
 const CONFIG: &str = "EDGE_CONFIG";
 const NAME: &str = "EDGE_NAME";
 const LISTEN: &str = "EDGE_LISTEN";
-/// Descriptors that are neither clients' nor engines': files, timers, names, peers, log, cancels.
-const RESERVED: usize = 48;
+/// Descriptors that are neither clients' nor engines': files, timers, names, peers, log.
+const RESERVED: usize = 24;
 const FEWEST_SOCKETS: usize = 128;
 const LEAST_MEMORY_MB: f64 = 32.0;
-/// Of all descriptors, what clients may hold; they hold a third by themselves. What is left is for engines.
-const CLIENTS: f64 = 0.36;
-/// A statement at most holds its text, its result as pages, twice over the answer written from them, and the kept
-/// result of one that is over.
+/// Of all descriptors, what clients may hold: the usual ones hold a third, and the rest is for such as only take up
+/// room until they are closed. What is left is for engines.
+const CLIENTS: f64 = 0.45;
+/// A statement at most holds its text, its result as pages, and the answer written from them.
 const STATEMENT: usize = 64 * 1024;
 const PAGE: usize = 8 * 1024;
-const RESULT: usize = 96 * 1024;
-const PAGES: usize = 64;
-/// Memory that is neither a statement's nor a connection's, and what a connection holds in buffers.
-const BASE: f64 = 24e6;
-const CONNECTION: f64 = 64e3;
+const RESULT: usize = 64 * 1024;
+const PAGES: usize = 32;
+/// Memory that is neither a statement's nor a connection's (the program and its runtime hold 6 MB), and what a
+/// connection holds in buffers.
+const BASE: f64 = 8e6;
+const CONNECTION: f64 = 24e3;
 /// Where the settings do not say.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 const ENGINE_IDLE: Duration = Duration::from_secs(15);
@@ -173,6 +193,7 @@
         dial_timeout: span(allowed, "dialTimeoutUs", "settings.allowed")?.unwrap_or(DIAL_TIMEOUT),
         engine_idle: span(allowed, "keepaliveUs", "settings.allowed")?.unwrap_or(ENGINE_IDLE),
         leave_within: longest.unwrap_or(LONGEST_LEAVE).min(LONGEST_LEAVE),
+        at_start: AtStart::read(value),
         site,
         words,
     })
@@ -197,8 +218,8 @@
     let memory = limit(limits, "memory_mb", 192.0, LEAST_MEMORY_MB)? * 1e6;
     let clients = (sockets as f64 * CLIENTS) as usize;
     let engines = sockets - RESERVED - clients;
-    let held = ((memory - BASE).max(8e6) - (clients + engines) as f64 * CONNECTION).max(4e6);
-    let by_memory = (held / (STATEMENT + 4 * RESULT) as f64) as usize;
+    let held = (memory - BASE - (clients + engines) as f64 * CONNECTION).max(4e6);
+    let by_memory = (held / (STATEMENT + 3 * RESULT) as f64) as usize;
     // An execution holds one connection at a time, and its cancel another. Of clients' connections some are
     // left over for those that are rejected.
     let stmts = (engines * 4 / 5).min(clients * 3 / 4).min(by_memory.max(16));
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -7,7 +7,7 @@
 use nanorand::{Rng, WyRand};
 use serde_json::Value;
 use slog::Logger;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
 use std::time::Duration;
@@ -15,13 +15,17 @@
 use tokio::time::{timeout_at, Instant};
 
 const SERVICE: &str = "_rpc._tcp.mesh.local.";
-/// How often the name service is asked, and the longest answer it gives.
+/// How often the name service is asked, when again after an answer that told nothing, and the longest answer it gives.
 const EVERY: Duration = Duration::from_millis(150);
+const AGAIN: Duration = Duration::from_millis(40);
 const LONGEST: usize = 8_000;
-/// Answers in a row with an earlier number after which the name service itself is taken to have gone back.
-const GONE_BACK: u32 = 20;
-/// Questions in a row without an answer after which that is worth a line in the log.
-const SILENT: u32 = 20;
+/// Questions that an answer may yet come for: a late one is as good as any other of its number.
+const AWAITED: usize = 8;
+/// Answers in a row with an earlier number (half a minute of them) after which the name service itself is taken to have
+/// gone back.
+const GONE_BACK: u32 = 200;
+/// For how long nothing usable may come before that is told.
+const SILENT: Duration = Duration::from_secs(3);
 
 /// The list as it stands after an event with this number.
 #[derive(Clone, Debug)]
@@ -86,42 +90,68 @@
 
 /// Asks the name service for as long as it is polled.
 pub struct Asker {
-    socket: UdpSocket,
+    /// None where there is no name service: the list then stays as it was told.
+    socket: Option<UdpSocket>,
     rng: WyRand,
     name: Name,
     no: u64,
     earlier: u32,
     next: Instant,
-    /// Questions in a row without a usable answer, and whether that was told.
+    /// The ids of the last questions, the newest last.
+    awaited: VecDeque<u16>,
+    /// Questions without a usable answer since the last one, when that was, and whether silence was told.
     unanswered: u32,
+    heard: Instant,
     silent: bool,
     log: Logger,
 }
 
+/// A socket for one name service: what others send to it never arrives.
+pub fn dial(server: SocketAddr) -> std::io::Result<UdpSocket> {
+    let local: IpAddr = match server {
+        SocketAddr::V4(_) => IpAddr::from([0, 0, 0, 0]),
+        SocketAddr::V6(_) => IpAddr::from([0; 16]),
+    };
+    let socket = std::net::UdpSocket::bind((local, 0))?;
+    socket.connect(server)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
 impl Asker {
-    pub async fn start(server: SocketAddr, no: u64, seed: u64, log: Logger) -> std::io::Result<Asker> {
-        let local: IpAddr = match server {
-            SocketAddr::V4(_) => IpAddr::from([0, 0, 0, 0]),
-            SocketAddr::V6(_) => IpAddr::from([0; 16]),
-        };
-        let socket = UdpSocket::bind((local, 0)).await?;
-        // What others send to this socket never arrives.
-        socket.connect(server).await?;
+    pub fn start(socket: Option<UdpSocket>, no: u64, seed: u64, log: Logger) -> std::io::Result<Asker> {
         let name = Name::from_str(SERVICE).map_err(std::io::Error::other)?;
-        let next = Instant::now();
+        let now = Instant::now();
         Ok(Asker {
             socket,
             rng: WyRand::new_seed(seed),
             name,
             no,
             earlier: 0,
-            next,
+            next: now,
+            awaited: VecDeque::new(),
             unanswered: 0,
+            heard: now,
             silent: false,
             log,
         })
     }
 
+    /// Asks there from now on, at once; the numbers go on.
+    pub fn turn_to(&mut self, socket: Option<UdpSocket>) {
+        self.socket = socket;
+        self.awaited.clear();
+        self.next = Instant::now();
+    }
+
+    /// A list from elsewhere is in force unless a later one is.
+    pub fn told(&mut self, no: u64) -> bool {
+        let later = no > self.no;
+        self.no = self.no.max(no);
+        later
+    }
+
+    /// May be dropped and called again at any time: no more than a question is lost.
     pub async fn change(&mut self) -> Word {
         loop {
             tokio::time::sleep_until(self.next).await;
@@ -130,7 +160,7 @@
                 return Word::List(known);
             }
             self.unanswered = self.unanswered.saturating_add(1);
-            if self.unanswered > SILENT && !self.silent {
+            if !self.silent && self.heard.elapsed() > SILENT {
                 self.silent = true;
                 slog::warn!(self.log, "name service silent: the list may be old"; "no" => self.no);
                 return Word::Silent;
@@ -139,26 +169,31 @@
     }
 
     async fn ask(&mut self) -> Option<Known> {
+        let Some(socket) = &self.socket else { return std::future::pending().await };
         let mut question = Message::query();
         question.metadata.id = self.rng.generate();
         question.add_query(Query::query(self.name.clone(), RecordType::SRV));
-        let id = question.metadata.id;
-        self.socket.send(&question.to_vec().ok()?).await.ok()?;
+        self.awaited.push_back(question.metadata.id);
+        if self.awaited.len() > AWAITED {
+            self.awaited.pop_front();
+        }
+        // Where it cannot be sent or nobody listens, the next question comes in its time.
+        let _ = socket.send(&question.to_vec().ok()?).await;
         let mut bytes = [0; LONGEST];
         loop {
-            let read = timeout_at(self.next, self.socket.recv(&mut bytes)).await.ok()?;
-            let Ok(length) = read else {
-                // Nobody listens there now; the next question comes in its time.
-                tokio::time::sleep_until(self.next).await;
-                return None;
-            };
+            let Ok(read) = timeout_at(self.next, socket.recv(&mut bytes)).await else { return None };
+            let Ok(length) = read else { continue };
             let Ok(answer) = Message::from_vec(&bytes[..length]) else { continue };
             let ours = answer.queries.first().is_none_or(|q| q.name() == &self.name);
-            if answer.metadata.id != id || answer.metadata.message_type != MessageType::Response || !ours {
+            let id = answer.metadata.id;
+            if !self.awaited.contains(&id) || answer.metadata.message_type != MessageType::Response || !ours {
                 continue;
             }
-            let Some(known) = read_answer(&answer, &self.name) else { continue };
-            return self.news(known);
+            match read_answer(&answer, &self.name) {
+                Some(known) if known.no >= self.no || id == question.metadata.id => return self.news(known),
+                Some(_) => {}
+                None => self.next = self.next.min(Instant::now() + AGAIN),
+            }
         }
     }
 
@@ -173,6 +208,7 @@
             slog::info!(self.log, "name service answers again"; "unanswered" => self.unanswered);
         }
         (self.no, self.earlier, self.unanswered, self.silent) = (known.no, 0, 0, false);
+        self.heard = Instant::now();
         news.then_some(known)
     }
 }
@@ -203,17 +239,32 @@
                 }
             }
         }
+        // Without them placement and the care for cold engines would go by what was never told.
         let told = |key: &str| texts.get(key).map(String::as_str);
         let entry = EngineEntry {
             id: id.into(),
             zone: zone.into(),
-            kind: told("kind").unwrap_or_default().into(),
-            cell: told("cell").and_then(|cell| cell.parse().ok()).unwrap_or(0),
+            kind: told("kind")?.into(),
+            cell: told("cell")?.parse().ok()?,
             state: if srv.priority == 0 { EngineState::In } else { EngineState::Draining },
             nominal: f64::from(srv.weight) / 10.0,
-            started: Duration::from_millis(told("started").and_then(|at| at.parse().ok()).unwrap_or(0)),
+            started: Duration::from_millis(told("started")?.parse().ok()?),
         };
         list.push(Listed { entry, address: SocketAddr::new(ip, srv.port) });
     }
     Some(Known { no: u64::from(serial), list })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn earlier_numbers_count_once_they_have_stayed_for_half_a_minute() {
+        let mut asker = Asker::start(None, 5, 7, Logger::root(slog::Discard, slog::o!())).unwrap();
+        let mut news = |no| asker.news(Known { no, list: Vec::new() }).is_some();
+        let earlier = |news: &mut dyn FnMut(u64) -> bool| (1..GONE_BACK).any(|_| news(4));
+        assert!(!earlier(&mut news) && !news(5));
+        assert!(!earlier(&mut news) && news(4));
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::config::Peers as Addresses;
 use bramblewharf::interface::Event;
 use bramblewharf_site::message;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
@@ -12,22 +13,28 @@
 
 pub struct Peers {
     socket: UdpSocket,
-    addresses: Addresses,
+    addresses: RefCell<Addresses>,
     own: usize,
 }
 
 impl Peers {
     pub async fn bind(addresses: Addresses, own: usize) -> io::Result<Peers> {
         let socket = UdpSocket::bind(addresses.listen).await?;
-        Ok(Peers { socket, addresses, own })
+        Ok(Peers { socket, addresses: RefCell::new(addresses), own })
+    }
+
+    /// Other gateways are at these addresses from now on; our own stays.
+    pub fn turn_to(&self, addresses: Addresses) {
+        self.addresses.replace(addresses);
     }
 
     /// Sends at once or not at all: what is told of loads is soon told again.
     pub fn tell(&self, to: Option<u32>, message: &str) {
+        let addresses = self.addresses.borrow();
         let address = match to {
-            None => self.addresses.all,
+            None => addresses.all,
             Some(peer) if peer as usize == self.own => None,
-            Some(peer) => self.addresses.each.get(peer as usize).copied(),
+            Some(peer) => addresses.each.get(peer as usize).copied(),
         };
         if let Some(address) = address.filter(|_| message.len() <= LONGEST) {
             let _ = self.socket.try_send_to(message.as_bytes(), address);
@@ -52,7 +59,7 @@
     }
 
     fn number(&self, from: SocketAddr) -> Option<u64> {
-        let at = self.addresses.each.iter().position(|address| *address == from)?;
+        let at = self.addresses.borrow().each.iter().position(|address| *address == from)?;
         (at != self.own).then_some(at as u64)
     }
 }
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -1,9 +1,9 @@
 //! Carries out what the reducer asks for, on one thread: the gateway as it is started, serves and shuts down.
 
-use crate::config::{Bounds, Start};
+use crate::config::{self, AtStart, Bounds, Start};
 use crate::engines::{Engines, Job};
 use crate::front::Front;
-use crate::names::{Asker, Word};
+use crate::names::{dial, Asker, Known, Word};
 use crate::peers::Peers;
 use crate::reducer::{Answer, Effect, Input, Reducer};
 use actix_rt::net::TcpListener;
@@ -19,6 +19,7 @@
 use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, Notify};
 
 /// How often idle connections are looked through, and how often figures are logged.
@@ -55,6 +56,13 @@
     }
 }
 
+/// Several reloads may come before the first is taken in: the last word on each counts.
+#[derive(Default)]
+struct Turn {
+    names: Option<Option<UdpSocket>>,
+    known: Option<Known>,
+}
+
 /// The reducer, and what its effects need.
 pub struct Core {
     reducer: RefCell<Reducer>,
@@ -73,6 +81,9 @@
     stopping: RefCell<HashMap<(Id, Id), JoinHandle<()>>>,
     /// The earliest time that something may be due has changed.
     due: Notify,
+    /// What a reload has changed for whoever follows the list.
+    turned: RefCell<Turn>,
+    turn: Notify,
     bad_calls: Cell<u64>,
     faults: Cell<u64>,
     /// Nothing is taken in or carried out any longer.
@@ -190,7 +201,21 @@
 
     async fn follow_list(self: Rc<Self>, mut asker: Asker) {
         loop {
-            let known = match asker.change().await {
+            let word = tokio::select! {
+                biased;
+                () = self.turn.notified() => {
+                    let Turn { names, known } = self.turned.take();
+                    if let Some(names) = names {
+                        asker.turn_to(names);
+                    }
+                    match known.filter(|known| asker.told(known.no)) {
+                        Some(known) => Word::List(known),
+                        None => continue,
+                    }
+                }
+                word = asker.change() => word,
+            };
+            let known = match word {
                 Word::List(known) => known,
                 Word::Silent => {
                     self.input(Input::Engines(ListKind::Failed, Vec::new()));
@@ -226,6 +251,9 @@
     tasks: Vec<JoinHandle<()>>,
     address: SocketAddr,
     leave_within: Duration,
+    at_start: AtStart,
+    /// The name service and other gateways, as last read.
+    in_force: RefCell<(Option<SocketAddr>, Option<config::Peers>)>,
 }
 
 impl Gateway {
@@ -236,7 +264,7 @@
         };
         let listener = listen(start.listen).map_err(|e| named("listen", &start.listen, e))?;
         let address = listener.local_addr()?;
-        let peers = match start.peers {
+        let peers = match start.peers.clone() {
             None => None,
             Some(peers) => {
                 let at = peers.listen;
@@ -244,13 +272,9 @@
                 Some(bound.map_err(|e| named("peer_listen", &at, e))?)
             }
         };
-        let asker = match start.names {
-            None => None,
-            Some(server) => {
-                let asker = Asker::start(server, start.known.no, start.seed, log.clone()).await;
-                Some(asker.map_err(|e| named("names", &server, e))?)
-            }
-        };
+        let names = start.names.map(|server| dial(server).map_err(|e| named("names", &server, e)));
+        let asker = Asker::start(names.transpose()?, start.known.no, start.seed, log.clone())?;
+        let in_force = RefCell::new((start.names, start.peers.clone()));
         let clock = Clock::new();
         let engines =
             Engines::new(start.bounds.clone(), start.words.clone(), start.dial_timeout, start.engine_idle);
@@ -269,6 +293,8 @@
             running: RefCell::default(),
             stopping: RefCell::default(),
             due: Notify::new(),
+            turned: RefCell::default(),
+            turn: Notify::new(),
             bad_calls: Cell::new(0),
             faults: Cell::new(0),
             closed: Cell::new(false),
@@ -280,9 +306,7 @@
             "bounds" => ?core.bounds);
         let mut tasks =
             vec![actix_rt::spawn(core.clone().keep_time()), actix_rt::spawn(core.clone().hear_peers())];
-        if let Some(asker) = asker {
-            tasks.push(actix_rt::spawn(core.clone().follow_list(asker)));
-        }
+        tasks.push(actix_rt::spawn(core.clone().follow_list(asker)));
         let (accepting, log) = (front.clone().accept(listener, core.clone()), core.log.clone());
         tasks.push(actix_rt::spawn(async move {
             let Err(error) = accepting.await;
@@ -301,7 +325,36 @@
                 }
             }
         }));
-        Ok(Gateway { core, front, tasks, address, leave_within: start.leave_within })
+        let (leave_within, at_start) = (start.leave_within, start.at_start);
+        Ok(Gateway { core, front, tasks, address, leave_within, at_start, in_force })
+    }
+
+    /// Takes over what can change while it serves, with no statement touched: the name service, other gateways'
+    /// addresses, and `known` where it is later than the list in force. What waits for a restart is named in the log.
+    pub fn reload(&self, start: Start) {
+        let log = &self.core.log;
+        let mut in_force = self.in_force.borrow_mut();
+        let (names, peers) = &*in_force;
+        let mut turned = self.core.turned.borrow_mut();
+        if start.names != *names {
+            match start.names.map(dial).transpose() {
+                Ok(socket) => turned.names = Some(socket),
+                Err(error) => return slog::error!(log, "configuration not reloaded: names: {}", error),
+            }
+        }
+        let mut waits = self.at_start.changed(&start.at_start);
+        // Whether messages are exchanged at all is settled at the start.
+        if peers.is_some() != start.peers.is_some() && !waits.contains(&"peer_listen") {
+            waits.push("peers");
+        }
+        if let (Some(ours), Some(peers)) = (&self.core.peers, &start.peers) {
+            ours.turn_to(peers.clone());
+        }
+        slog::info!(log, "configuration reloaded"; "names" => ?start.names, "known" => start.known.no,
+            "waits_for_restart" => ?waits);
+        *in_force = (start.names, start.peers);
+        turned.known = Some(start.known);
+        self.core.turn.notify_one();
     }
 
     /// Where it listens.
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway on loopback, against small stand-ins for engines, clients, the name service and other gateways.
 
-use bramblewharf_gateway::names::{read_answer, Asker, Word};
+use bramblewharf_gateway::names::{dial, read_answer, Asker, Word};
 use bramblewharf_gateway::{config, Gateway};
 use hickory_proto::op::{Message, MessageType};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
@@ -166,6 +166,7 @@
 
 struct Served {
     address: SocketAddr,
+    reloads: tokio::sync::mpsc::UnboundedSender<Value>,
     stop: Option<tokio::sync::oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -174,19 +175,25 @@
     fn by(configuration: &Value) -> Served {
         let configuration = configuration.clone();
         let (told, address) = mpsc::channel();
-        let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+        let (stop, mut stopped) = tokio::sync::oneshot::channel::<()>();
+        let (reloads, mut reloaded) = tokio::sync::mpsc::unbounded_channel::<Value>();
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async {
                 let start = config::read(&configuration, None, None).unwrap();
                 let log = slog::Logger::root(slog::Discard, slog::o!());
                 let gateway = Gateway::start(start, log).await.unwrap();
                 told.send(gateway.address()).unwrap();
-                let _ = stopped.await;
+                loop {
+                    tokio::select! {
+                        _ = &mut stopped => break,
+                        Some(newer) = reloaded.recv() => gateway.reload(config::read(&newer, None, None).unwrap()),
+                    }
+                }
                 gateway.shut_down().await;
             });
         });
         let address = address.recv().unwrap();
-        Served { address, stop: Some(stop), thread: Some(thread) }
+        Served { address, reloads, stop: Some(stop), thread: Some(thread) }
     }
 
     fn before(engines: &[SocketAddr]) -> Served {
@@ -692,23 +699,82 @@
     assert_eq!(well.posts(), 1);
 }
 
+/// The list follows the name service to another address, from its number on, and no statement notices.
+#[test]
+fn a_reload_moves_the_name_service_and_touches_no_statement() {
+    let open = Arc::new(Mutex::new(true));
+    let gate = open.clone();
+    let first = Engine::start(move |_| match *gate.lock().unwrap() {
+        true => answer(200, "Page-Count: 1\r\n", b"done\n"),
+        false => answer(202, "", b""),
+    });
+    let second = Engine::well();
+    let (at_first, at_second) = (first.address, second.address);
+    let (old, _asked) = name_service(move |_, id| vec![list_answer(id, 5, &[("a", at_first, 0)])]);
+    // The new one begins with an older list, which is none.
+    let (new, asked) = name_service(move |number, id| {
+        let (serial, engine) = if number < 2 { (3, at_first) } else { (6, at_second) };
+        vec![list_answer(id, serial, &[("b", engine, 0)])]
+    });
+    let mut configuration = configuration(&[]);
+    configuration["known"]["no"] = json!(4);
+    configuration["names"] = json!(old.to_string());
+    let served = Served::by(&configuration);
+    let mut id = 0;
+    while served.ask(&call("once", id, 60_000, "")).status == 503 {
+        id += 1;
+    }
+    *open.lock().unwrap() = false;
+    let held = served.ask_aside(call("once", 900, 60_000, ""));
+    first.wait(|call| call.headers.get("x-ticket").is_some_and(|id| id.ends_with("384")));
+    for _ in 0..3 {
+        configuration["names"] = json!(nobody().to_string());
+        served.reloads.send(configuration.clone()).unwrap();
+        configuration["names"] = json!(new.to_string());
+        served.reloads.send(configuration.clone()).unwrap();
+    }
+    while asked.recv_timeout(LONG).unwrap() < 3 {}
+    assert_eq!(served.ask(&call("once", 901, 60_000, "")).body, json!({"values": [["well", "1", "x"]]}));
+    // A later list in the file itself counts too, an earlier one does not.
+    let on_file = |no: u64, engine: SocketAddr| {
+        let mut newer = self::configuration(&[engine]);
+        (newer["known"]["no"], newer["names"]) = (json!(no), json!(new.to_string()));
+        newer
+    };
+    served.reloads.send(on_file(5, at_first)).unwrap();
+    assert_eq!(served.ask(&call("once", 902, 60_000, "")).status, 200);
+    *open.lock().unwrap() = true;
+    assert_eq!(held.join().unwrap().body, json!({"values": [["done"]]}));
+    assert_eq!(second.posts(), 2);
+}
+
+/// Not even for longer than a bad service was seen to tell them.
 #[test]
-fn an_earlier_number_is_a_late_word_until_it_stays() {
+fn an_earlier_number_is_a_late_word() {
     let address = nobody();
     let (names, _asked) = name_service(move |number, id| {
-        let serial = [5, 3, 5, 7].get(number).copied().unwrap_or(4);
+        let serial = [5, 3, 5].get(number).copied().unwrap_or(if number < 29 { 4 } else { 7 });
         vec![list_answer(id, serial, &[("x", address, 1)])]
     });
     actix_rt::System::new().block_on(async {
-        let mut asker =
-            Asker::start(names, 1, 7, slog::Logger::root(slog::Discard, slog::o!())).await.unwrap();
-        for no in [5, 7, 4] {
+        let mut asker = asker(names, 1);
+        // The third second without a usable answer is told, and so is the end of that.
+        for wanted in [Some(5), None, Some(7)] {
             let word = tokio::time::timeout(LONG, asker.change()).await.unwrap();
-            assert!(matches!(word, Word::List(known) if known.no == no));
+            assert!(
+                matches!((&word, wanted), (Word::Silent, None))
+                    || matches!((&word, wanted), (Word::List(known), Some(no)) if known.no == no),
+                "{word:?}"
+            );
         }
     });
 }
 
+fn asker(names: SocketAddr, no: u64) -> Asker {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Asker::start(Some(dial(names).unwrap()), no, 7, log).unwrap()
+}
+
 /// A name service that has been silent says so once, and its first answer counts even if nothing has changed.
 #[test]
 fn a_silent_name_service_is_told_and_its_return_too() {
@@ -718,8 +784,7 @@
         _ => Vec::new(),
     });
     actix_rt::System::new().block_on(async {
-        let mut asker =
-            Asker::start(names, 5, 7, slog::Logger::root(slog::Discard, slog::o!())).await.unwrap();
+        let mut asker = asker(names, 5);
         let mut words = Vec::new();
         while words.len() < 2 {
             words.push(tokio::time::timeout(LONG, asker.change()).await.unwrap());
@@ -757,7 +822,9 @@
     no_soa.authorities.clear();
     let mut no_address = whole.clone();
     no_address.additionals.retain(|record| !matches!(record.data, RData::A(_)));
-    for half in [cut, no_soa, no_address] {
+    let mut no_kind = whole.clone();
+    no_kind.additionals.pop();
+    for half in [cut, no_soa, no_address, no_kind] {
         assert!(read_answer(&half, &service).is_none());
     }
 }
@@ -832,6 +899,13 @@
         let said = config::read(&bad, None, None).err().unwrap_or_default();
         assert!(said.contains(message), "{path}: {said}");
     }
+    // A gateway of the smallest size still holds what a hundred statements a second need of it.
+    good["limits"] = json!({"cores": 0.2, "memory_mb": 32, "sockets": 256});
+    let bounds = config::read(&good, None, None).unwrap().bounds;
+    assert!(
+        bounds.stmts >= 64 && bounds.clients > 256 / 3 && bounds.clients + bounds.engines < 256,
+        "{bounds:?}"
+    );
     let listen = config::read(&good, Some("n7".into()), Some("127.0.0.1:7777".into())).unwrap();
     assert_eq!((listen.name.as_str(), listen.listen.port()), ("n7", 7777));
 }
@@ -844,7 +918,7 @@
         let out = command.args(words).output().unwrap();
         (out.status.code(), String::from_utf8(out.stderr).unwrap())
     };
-    let file = std::env::temp_dir().join(format!("bramblewharf-{}.json", std::process::id()));
+    let file = temporary("said.json");
     let path = file.to_str().unwrap();
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut configuration = configuration(&[]);
@@ -870,6 +944,88 @@
     assert_eq!(program(&["version"]).0, Some(0));
 }
 
+/// The program, and the lines of its log as they come.
+struct Program {
+    child: std::process::Child,
+    lines: mpsc::Receiver<String>,
+}
+
+impl Program {
+    fn start(file: &std::path::Path) -> Program {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_bramblewharf"));
+        let command = command.env_remove("EDGE_LISTEN").env("EDGE_CONFIG", file).arg("serve");
+        let mut child = command.stderr(std::process::Stdio::piped()).spawn().unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap());
+        let (told, lines) = mpsc::channel();
+        std::thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| told.send(line)));
+        Program { child, lines }
+    }
+
+    /// The next line of the log with these words.
+    fn wait(&self, words: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(LONG).expect(words);
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(std::process::Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+}
+
+fn temporary(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("bramblewharf-{}-{name}", std::process::id()))
+}
+
+/// SIGHUP ends nothing, not even before the configuration is read; what is wrong leaves the old one in force.
+#[test]
+fn the_program_reloads_by_sighup() {
+    let engine = Engine::well();
+    let at = engine.address;
+    let (names, asked) = name_service(move |_, id| vec![list_answer(id, 7, &[("e", at, 0)])]);
+    let mut configuration = configuration(&[at]);
+    let listen = nobody();
+    configuration["listen"] = json!(listen.to_string());
+    let file = temporary("pipe");
+    assert!(std::process::Command::new("mkfifo").arg(&file).status().unwrap().success());
+    let mut program = Program::start(&file);
+    // Whoever writes waits for the reader, and the reader for what is written.
+    let mut pipe = std::fs::File::create(&file).unwrap();
+    program.signal("-HUP");
+    pipe.write_all(configuration.to_string().as_bytes()).unwrap();
+    drop(pipe);
+    program.wait("serving");
+    let reload = |text: &str| {
+        let mut pipe = std::fs::File::create(&file).unwrap();
+        pipe.write_all(text.as_bytes()).unwrap();
+    };
+    reload("{\"listen\": ");
+    assert!(program.wait("configuration not reloaded").contains("is not JSON"));
+    program.signal("-HUP");
+    let mut wrong = configuration.clone();
+    wrong["names"] = json!("nowhere");
+    reload(&wrong.to_string());
+    assert!(program.wait("configuration not reloaded").contains("names: nowhere is not an address"));
+    program.signal("-HUP");
+    configuration["names"] = json!(names.to_string());
+    configuration["limits"]["sockets"] = json!(512);
+    reload(&configuration.to_string());
+    assert!(program.wait("configuration reloaded").contains("waits_for_restart: [\"limits\"]"));
+    program.wait("list of engines");
+    asked.recv_timeout(LONG).unwrap();
+    let asked = ask_aside(TcpStream::connect(listen).unwrap(), call("once", 1, 60_000, ""));
+    assert_eq!(asked.join().unwrap().status, 200);
+    std::fs::remove_file(&file).unwrap();
+    program.signal("-HUP");
+    assert!(program.wait("configuration not reloaded").contains("cannot be read"));
+    program.signal("-TERM");
+    assert_eq!(program.child.wait().unwrap().code(), Some(0));
+}
+
 /// The program itself: SIGTERM loses nothing and ends it with 0, and after a kill its address is free at once.
 #[test]
 fn the_program_ends_by_sigterm_and_starts_again_after_a_kill() {
@@ -880,22 +1036,14 @@
         false => answer(202, "", b""),
     });
     let listen = nobody();
-    let file = std::env::temp_dir().join(format!("bramblewharf-{}-serve.json", std::process::id()));
+    let file = temporary("serve.json");
     let mut configuration = configuration(&[engine.address]);
     configuration["listen"] = json!(listen.to_string());
     std::fs::write(&file, configuration.to_string()).unwrap();
     let start = || {
-        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_bramblewharf"));
-        let command = command.env_remove("EDGE_LISTEN").env("EDGE_CONFIG", &file).arg("serve");
-        let mut child = command.stderr(std::process::Stdio::piped()).spawn().unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        while !line.contains("serving") {
-            assert!(log.read_line(&mut line).unwrap() > 0, "{line}");
-        }
-        // What it logs later is read, so that it never waits for that.
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        child
+        let program = Program::start(&file);
+        program.wait("serving");
+        program
     };
     let ask = |id: u64| {
         let asked = ask_aside(TcpStream::connect(listen).unwrap(), call("read", id, 60_000, ""));
@@ -904,18 +1052,17 @@
     };
     let mut killed = start();
     let lost = ask(1);
-    killed.kill().unwrap();
-    killed.wait().unwrap();
+    killed.child.kill().unwrap();
+    killed.child.wait().unwrap();
     assert!(lost.join().is_err());
     let mut again = start();
     let held = ask(2);
-    let sent = std::process::Command::new("kill").args(["-TERM", &again.id().to_string()]).status().unwrap();
-    assert!(sent.success());
+    again.signal("-TERM");
     let late = ask(3);
     *gate.lock().unwrap() = true;
     for asked in [held, late] {
         assert_eq!(asked.join().unwrap().body, json!({"values": [["done"]]}));
     }
-    assert_eq!(again.wait().unwrap().code(), Some(0));
+    assert_eq!(again.child.wait().unwrap().code(), Some(0));
     std::fs::remove_file(&file).unwrap();
 }
