What engines send is checked before it is believed, and asked for again where it was spoilt

Now exchange.rs vets every byte before awc sees it; an execution has its connections for itself, which rest 250 ms before another has them; GETs are asked again on fresh connections after 300 ms of silence or whatever is no answer, POST goes out once, and on a second connection only where not a byte of it was written. Our own bounds are Skipped. The pool keyed by address and its renewal are gone.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -2,75 +2,100 @@
 //! gives: only a connection refused or never established, or the protocol's own marks, prove that nothing ran.
 
 use crate::config::Bounds;
-use crate::link::{Lines, Link};
+use crate::link::{is_quiet, Line, Lines, Link};
 use crate::reducer::{Ending, Parcel};
-use actix_http::error::ParseError;
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError as DialError, ConnectInfo, Connection};
-use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::{StatusCode, Uri};
 use awc::{Client, ClientRequest, Connector};
 use bramblewharf::interface::*;
 use bramblewharf_site::Names;
 use bytes::Bytes;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// An engine answers within 250 ms, if only that there is no news; by then it has not.
-const UNANSWERED: Duration = Duration::from_secs(1);
-/// Pause before an engine is asked again that could not be reached, or that answers too fast.
+/// An engine answers within 250 ms, if only that there is no news; by then it has not, or the answer is lost.
+const UNANSWERED: Duration = Duration::from_millis(300);
+/// Pause before an engine is asked again that could not be reached or broke off twice, or that answers too fast.
 const PAUSE: Duration = Duration::from_millis(25);
 const TOO_FAST: Duration = Duration::from_millis(5);
-/// How often a page is asked for again after a broken connection, which changes nothing at the engine.
-const PAGE_TRIES: usize = 3;
+/// A connection rests for so long between two executions: what an engine sent behind an answer has come by then, and is
+/// not taken for the next one's.
+const REST: Duration = Duration::from_millis(250);
+/// How often the end of an execution or a page is asked for again where what came was no such thing, or did not come.
+const TRIES: usize = 5;
 
 pub struct Engines {
-    client: RefCell<Client>,
-    pub lines: Rc<Lines>,
+    lines: Rc<Lines>,
+    /// Connections that no execution uses, the longest at rest first; bounded with `lines` by `bounds.engines`, emptied of
+    /// what has rested for `idle`.
+    resting: RefCell<VecDeque<Resting>>,
+    idle: Duration,
     names: Names,
     bounds: Bounds,
     dial_timeout: Duration,
-    idle: Duration,
 }
 
-/// A client that counts and watches its connections, and gives no call a time of its own.
-fn client(lines: &Rc<Lines>, idle: Duration, dial_timeout: Duration, most: usize) -> Client {
-    let lines = lines.clone();
-    let dial = fn_service(move |info: ConnectInfo<Uri>| {
-        let lines = lines.clone();
-        async move {
-            // A pool keeps what it has: at the bound, what no call can be open on makes room.
-            if lines.count() >= most && !lines.close_idlest(dial_timeout + UNANSWERED) {
-                return Err(DialError::Io(io::Error::other("too many connections to engines")));
-            }
-            let host = info.hostname().trim_matches(['[', ']']);
-            let ip: IpAddr = host.parse().map_err(|_| DialError::Unresolved)?;
-            let stream = TcpStream::connect((ip, info.port())).await.map_err(DialError::Io)?;
-            Ok(Connection::new(info.request().clone(), lines.link(stream)))
+struct Resting {
+    address: SocketAddr,
+    since: Instant,
+    stream: TcpStream,
+}
+
+/// The connections of one execution, one at a time. Until it is over no other execution has them, and then only what showed
+/// nothing irregular, after a rest: no answer that comes late, twice or to another call is ever taken for a result.
+struct Way {
+    address: SocketAddr,
+    client: Client,
+    /// A connection that is made, for the client to take.
+    made: Rc<Cell<Option<Link>>>,
+    line: Option<Rc<Line>>,
+}
+
+impl Way {
+    fn to(address: SocketAddr) -> Way {
+        let made = Rc::new(Cell::new(None));
+        let slot = made.clone();
+        // Connections are made before the client is asked to send, and what became of that is known apart.
+        let dial = fn_service(move |info: ConnectInfo<Uri>| {
+            let link: Option<Link> = slot.take();
+            std::future::ready(match link {
+                Some(link) => Ok(Connection::new(info.request().clone(), link)),
+                None => Err(DialError::Io(io::ErrorKind::NotConnected.into())),
+            })
+        });
+        let connector = Connector::new().connector::<_, Link>(dial).limit(1);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Way { address, client, made, line: None }
+    }
+
+    /// The connection in use is not used again.
+    fn leave(&mut self) {
+        if let Some(line) = self.line.take() {
+            line.close();
         }
-    });
-    let connector = Connector::new()
-        .connector::<_, Link>(dial)
-        .timeout(dial_timeout)
-        .limit(most)
-        .conn_keep_alive(idle)
-        .conn_lifetime(Duration::from_secs(3600));
-    Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
+    }
 }
 
 /// What came of one call.
 enum Call {
-    /// No connection was established: nothing reached the engine. With whether it was refused.
+    /// No connection was established, or it had ended before a byte of the call was written. With whether it was refused.
     NotMade(bool),
-    /// The connection broke or stayed silent: whatever was sent may have arrived.
+    /// Our own bound or the system's kept it from being made.
+    NoRoom,
+    /// The connection broke, stayed silent or carried what is no answer: whatever was sent may have arrived.
     Lost,
-    /// An answer that is no such answer as engines give.
-    Unreadable,
     Answered(Reply),
 }
 
@@ -104,45 +129,102 @@
 
 impl Engines {
     pub fn new(bounds: Bounds, names: Names, dial_timeout: Duration, engine_idle: Duration) -> Engines {
-        // Closed well before engines close them: a statement must not cross such a close.
+        // Closed well before engines close them: a call must not cross such a close.
         let idle = engine_idle / 3;
-        let lines = Rc::new(Lines::new(idle, true));
-        let client = RefCell::new(client(&lines, idle, dial_timeout, bounds.engines));
-        Engines { client, lines, names, bounds, dial_timeout, idle }
+        let lines = Rc::new(Lines::new(idle, Some(bounds.page)));
+        Engines { lines, resting: RefCell::default(), idle, names, bounds, dial_timeout }
+    }
+
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        self.lines.count() + self.resting.borrow().len()
+    }
+
+    /// Closes what has been idle for too long; to be called now and then.
+    pub fn sweep(&self) {
+        self.lines.sweep();
+        self.resting.borrow_mut().retain(|resting| resting.since.elapsed() < self.idle);
     }
 
-    /// Begins with an empty pool, once engines are gone from the list: theirs would be kept for ever.
-    pub fn renew(&self) {
-        let client = client(&self.lines, self.idle, self.dial_timeout, self.bounds.engines);
-        self.client.replace(client);
+    pub fn close_all(&self) {
+        self.lines.close_all();
+        self.resting.borrow_mut().clear();
+    }
+
+    /// One that has rested long enough, if it is still good: nothing has come on it, not even its end.
+    fn rested(&self, address: SocketAddr) -> Option<TcpStream> {
+        let mut resting = self.resting.borrow_mut();
+        loop {
+            let enough = |resting: &Resting| resting.address == address && resting.since.elapsed() >= REST;
+            let at = resting.iter().position(enough)?;
+            let stream = resting.remove(at)?.stream;
+            if is_quiet(&stream) {
+                return Some(stream);
+            }
+        }
     }
 
     /// Runs one execution to its end; `noted` is told the engine's notes.
     pub async fn run(&self, job: Job<'_>, noted: impl Fn(Note)) -> Ending {
+        let mut way = Way::to(job.address);
+        let ending = self.run_by(&mut way, &job, noted).await;
+        if let Some(stream) = way.line.take().filter(|line| line.is_free()).and_then(|line| line.take()) {
+            let since = Instant::now();
+            self.resting.borrow_mut().push_back(Resting { address: job.address, since, stream });
+        }
+        ending
+    }
+
+    async fn run_by(&self, way: &mut Way, job: &Job<'_>, noted: impl Fn(Note)) -> Ending {
         let id = String::from_utf8_lossy(&job.parcel.id);
-        let base = format!("http://{}/x", job.address);
-        let news = format!("{base}/{id}/0");
-        let mut call = self.post(&job, &base).await;
-        let mut started = false;
+        let mut call = self.post(way, job).await;
+        let (mut started, mut in_a_row, mut odd, mut lost) = (false, 0, 0, false);
         loop {
-            let asked = Instant::now();
             match call {
+                Call::NoRoom if !started => return Outcome::Skipped.into(),
                 // The engine's process is gone, and the execution with it.
                 Call::NotMade(refused) if !started || refused => {
                     return if started { Outcome::Reset } else { Outcome::Refused }.into();
                 }
-                Call::NotMade(_) | Call::Lost => sleep(PAUSE).await,
-                Call::Unreadable => return Outcome::Error.into(),
-                Call::Answered(reply) => match self.read(&reply) {
-                    News::None(note) => note.into_iter().for_each(&noted),
-                    News::Failed(outcome) => {
-                        return Ending { report: self.report(&reply), ..outcome.into() };
+                Call::NotMade(_) | Call::NoRoom | Call::Lost => {
+                    lost |= !started;
+                    in_a_row += 1;
+                    if in_a_row > 1 {
+                        sleep(PAUSE).await;
+                    }
+                }
+                Call::Answered(reply) => {
+                    in_a_row = 0;
+                    match self.read(&reply) {
+                        News::None(note) => note.into_iter().for_each(&noted),
+                        // An engine that does not know it may never have had it whole; the path is at fault.
+                        News::Failed(Outcome::Error) if lost => {
+                            return Ending { report: self.report(&reply), ..Outcome::Reset.into() };
+                        }
+                        News::Failed(outcome) => {
+                            return Ending { report: self.report(&reply), ..outcome.into() };
+                        }
+                        News::Completed(pages) => match self.fetch(way, &id, &reply, pages).await {
+                            Ok(ending) => return ending,
+                            Err(Unfetched::Gone) => {
+                                return Ending { report: self.report(&reply), ..Outcome::Error.into() };
+                            }
+                            Err(Unfetched::Odd) => odd += 1,
+                        },
+                        News::Odd => odd += 1,
+                    }
+                    if odd > 0 {
+                        way.leave();
+                    }
+                    if odd >= TRIES {
+                        self.stop(job.address, &id).await;
+                        return Ending { report: None, ..Outcome::Error.into() };
                     }
-                    News::Completed(pages) => return self.fetch(&base, &id, reply, pages).await,
-                },
+                }
             }
             started = true;
-            call = self.call(self.get(&news), Bytes::new(), self.bounds.page).await;
+            let asked = Instant::now();
+            call = self.get(way, &id, 0).await;
             let at_once = matches!(&call, Call::Answered(r) if r.status == StatusCode::ACCEPTED);
             if at_once && asked.elapsed() < TOO_FAST {
                 sleep(PAUSE).await;
@@ -153,48 +235,93 @@
     /// Gives an execution up. The engine that cannot be told ends it by itself, as no one asks for it.
     pub async fn stop(&self, address: SocketAddr, id: &str) {
         let uri = format!("http://{address}/x/{id}");
-        let call = self.client.borrow().delete(uri);
-        self.call(call, Bytes::new(), self.bounds.page).await;
+        self.call(&mut Way::to(address), |client| client.delete(&uri), Bytes::new()).await;
     }
 
-    async fn post(&self, job: &Job<'_>, base: &str) -> Call {
+    async fn post(&self, way: &mut Way, job: &Job<'_>) -> Call {
         let Job { parcel, mem_mb, timeout, .. } = job;
-        let mut request = self
-            .client
-            .borrow()
-            .post(base)
-            .insert_header(("X-Ticket", &parcel.id[..]))
-            .insert_header(("X-Queue", &parcel.workload[..]))
-            .insert_header(("X-Max-Ms", timeout.as_micros().div_ceil(1000).max(1) as u64));
-        if let Some(key) = &parcel.key {
-            request = request.insert_header(("X-Nonce", &key[..]));
-        }
-        if *mem_mb > 0.0 {
-            request = request.insert_header(("Grant-Mb", format!("{:.0}", mem_mb.ceil())));
+        let uri = format!("http://{}/x", way.address);
+        let request = |client: &Client| {
+            let mut request = client
+                .post(&uri)
+                .insert_header(("X-Ticket", &parcel.id[..]))
+                .insert_header(("X-Queue", &parcel.workload[..]))
+                .insert_header(("X-Max-Ms", timeout.as_micros().div_ceil(1000).max(1) as u64));
+            if let Some(key) = &parcel.key {
+                request = request.insert_header(("X-Nonce", &key[..]));
+            }
+            if *mem_mb > 0.0 {
+                request = request.insert_header(("Grant-Mb", format!("{:.0}", mem_mb.ceil())));
+            }
+            request
+        };
+        self.call(way, request, parcel.statement.clone()).await
+    }
+
+    /// The news of an execution, or a further page of its result.
+    async fn get(&self, way: &mut Way, id: &str, page: usize) -> Call {
+        let uri = format!("http://{}/x/{id}/{page}", way.address);
+        self.call(way, |client| client.get(&uri), Bytes::new()).await
+    }
+
+    async fn connect(&self, way: &mut Way) -> Result<Rc<Line>, Call> {
+        if let Some(line) = way.line.as_ref().filter(|line| line.is_free()) {
+            return Ok(line.clone());
         }
-        self.call(request, parcel.statement.clone(), self.bounds.page).await
+        let stream = match self.rested(way.address) {
+            Some(stream) => stream,
+            None => self.dial(way.address).await?,
+        };
+        let link = self.lines.link(stream);
+        let line = link.0.clone();
+        way.made.set(Some(link));
+        way.line = Some(line.clone());
+        Ok(line)
     }
 
-    fn get(&self, uri: &str) -> ClientRequest {
-        self.client.borrow().get(uri)
+    async fn dial(&self, address: SocketAddr) -> Result<TcpStream, Call> {
+        // At the bound a connection that no execution uses makes room.
+        if self.connections() >= self.bounds.engines && self.resting.borrow_mut().pop_front().is_none() {
+            return Err(Call::NoRoom);
+        }
+        match timeout(self.dial_timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => Ok(stream),
+            Ok(Err(error)) => Err(match error.kind() {
+                io::ErrorKind::ConnectionRefused => Call::NotMade(true),
+                io::ErrorKind::ConnectionReset
+                | io::ErrorKind::TimedOut
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable => Call::NotMade(false),
+                // Descriptors, ports, memory: ours, whatever the engine does.
+                _ => Call::NoRoom,
+            }),
+            Err(_) => Err(Call::NotMade(false)),
+        }
     }
 
-    async fn call(&self, request: ClientRequest, body: Bytes, most: usize) -> Call {
-        let answered = async {
-            let mut response = match request.no_decompress().send_body(body).await {
-                Ok(response) => response,
-                Err(error) => return not_answered(&error),
+    /// One call, once. Only where not a byte of it was written does it go out on a second connection.
+    async fn call(&self, way: &mut Way, request: impl Fn(&Client) -> ClientRequest, body: Bytes) -> Call {
+        for _ in 0..2 {
+            let line = match self.connect(way).await {
+                Ok(line) => line,
+                Err(call) => return call,
             };
-            match response.body().limit(most).await {
-                Ok(body) => {
-                    let headers = response.headers().clone();
-                    Call::Answered(Reply { status: response.status(), headers, body })
-                }
-                Err(PayloadError::Incomplete(_) | PayloadError::Io(_)) => Call::Lost,
-                Err(_) => Call::Unreadable,
+            line.ask();
+            let answered = async {
+                let sent = request(&way.client).no_decompress().send_body(body.clone());
+                let mut response = sent.await.ok()?;
+                let body = response.body().limit(self.bounds.page).await.ok()?;
+                Some(Reply { status: response.status(), headers: response.headers().clone(), body })
+            };
+            if let Some(reply) = timeout(UNANSWERED, answered).await.ok().flatten() {
+                return Call::Answered(reply);
             }
-        };
-        timeout(self.dial_timeout + UNANSWERED, answered).await.unwrap_or(Call::Lost)
+            way.leave();
+            if line.sent() {
+                return Call::Lost;
+            }
+        }
+        Call::NotMade(false)
     }
 
     fn read(&self, reply: &Reply) -> News {
@@ -202,7 +329,7 @@
             StatusCode::ACCEPTED => News::None(note(reply)),
             StatusCode::OK => match reply.number("Page-Count") {
                 Some(pages) if (1..=self.bounds.pages).contains(&pages) => News::Completed(pages),
-                _ => News::Failed(Outcome::Error),
+                _ => News::Odd,
             },
             StatusCode::SERVICE_UNAVAILABLE if reply.never_ran() => News::Failed(Outcome::Full),
             StatusCode::GATEWAY_TIMEOUT if reply.never_ran() => News::Failed(Outcome::Skipped),
@@ -211,43 +338,52 @@
     }
 
     /// Completed is what is here whole: a page that is missing or cannot be read may not pass for a result.
-    async fn fetch(&self, base: &str, id: &str, first: Reply, count: usize) -> Ending {
-        let report = self.report(&first);
+    async fn fetch(&self, way: &mut Way, id: &str, first: &Reply, count: usize) -> Result<Ending, Unfetched> {
         let work = first.number::<f64>("Work-Ms").filter(|ms| *ms >= 0.0 && ms.is_finite());
-        let took = work
-            .map(|ms| (Duration::from_secs_f64((ms / 1e3).min(1e6)), first.number("Peak-Mb").unwrap_or(0.0)));
-        let failed = || Ending { report, ..Outcome::Error.into() };
+        let mem = first.number::<f64>("Peak-Mb").filter(|mb| *mb >= 0.0 && mb.is_finite()).unwrap_or(0.0);
+        let took = work.map(|ms| (Duration::from_secs_f64((ms / 1e3).min(1e6)), mem));
         let mut columns = None;
         let mut bytes = first.body.len();
         if !is_whole(&first.body, &mut columns) {
-            return failed();
+            return Err(Unfetched::Odd);
         }
-        let mut pages = vec![first.body];
+        let mut pages = vec![first.body.clone()];
         for number in 1..count {
-            let Some(page) = self.page(&format!("{base}/{id}/{number}"), number).await else {
-                return failed();
-            };
+            let page = self.page(way, id, number, &mut columns).await?;
             bytes += page.len();
-            if bytes > self.bounds.result || !is_whole(&page, &mut columns) {
-                return failed();
+            if bytes > self.bounds.result {
+                return Err(Unfetched::Gone);
             }
             pages.push(page);
         }
-        Ending { outcome: Outcome::Completed, pages, took, report }
+        Ok(Ending { outcome: Outcome::Completed, pages, took, report: self.report(first) })
     }
 
-    async fn page(&self, uri: &str, number: usize) -> Option<Bytes> {
-        for _ in 0..PAGE_TRIES {
-            match self.call(self.get(uri), Bytes::new(), self.bounds.page).await {
-                Call::NotMade(true) | Call::Unreadable => return None,
-                Call::NotMade(false) | Call::Lost => sleep(PAUSE).await,
+    async fn page(
+        &self,
+        way: &mut Way,
+        id: &str,
+        number: usize,
+        columns: &mut Option<usize>,
+    ) -> Result<Bytes, Unfetched> {
+        for again in 0..TRIES {
+            if again > 1 {
+                sleep(PAUSE).await;
+            }
+            match self.get(way, id, number).await {
+                Call::NotMade(true) => return Err(Unfetched::Gone),
+                Call::NotMade(false) | Call::NoRoom | Call::Lost => {}
+                Call::Answered(reply) if reply.status != StatusCode::OK => return Err(Unfetched::Gone),
                 Call::Answered(reply) => {
-                    let right = reply.status == StatusCode::OK && reply.number("Page-No") == Some(number);
-                    return right.then_some(reply.body);
+                    if reply.number("Page-No") == Some(number) && is_whole(&reply.body, columns) {
+                        return Ok(reply.body);
+                    }
+                    // Of another call, or spoilt on its way: the next answer here could be as wrong.
+                    way.leave();
                 }
             }
         }
-        None
+        Err(Unfetched::Gone)
     }
 
     fn report(&self, reply: &Reply) -> Option<Report> {
@@ -274,10 +410,20 @@
     })
 }
 
+/// Why there is no whole result of what completed.
+enum Unfetched {
+    /// It is not to be had any longer.
+    Gone,
+    /// What came is none; it may be asked for again.
+    Odd,
+}
+
 enum News {
     /// Not yet over.
     None(Option<Note>),
     Failed(Outcome),
+    /// No such answer as engines give: spoilt on its way, or of another call.
+    Odd,
     /// Over, with so many pages.
     Completed(usize),
 }
@@ -293,19 +439,6 @@
     })
 }
 
-fn not_answered(error: &SendRequestError) -> Call {
-    match error {
-        SendRequestError::Connect(ConnectError::Timeout) => Call::NotMade(false),
-        SendRequestError::Connect(ConnectError::Io(error)) => {
-            Call::NotMade(error.kind() == io::ErrorKind::ConnectionRefused)
-        }
-        SendRequestError::Response(ParseError::Io(_) | ParseError::Incomplete) => Call::Lost,
-        SendRequestError::Response(_) => Call::Unreadable,
-        // `Disconnected` among them: the connection ended where an answer was awaited.
-        _ => Call::Lost,
-    }
-}
-
 /// Whole rows of text, all with the same number of columns.
 fn is_whole(page: &[u8], columns: &mut Option<usize>) -> bool {
     let Ok(text) = std::str::from_utf8(page) else { return false };
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -55,7 +55,7 @@
 
 impl Front {
     pub fn new(bounds: &Bounds) -> Rc<Front> {
-        let lines = Rc::new(Lines::new(IDLE, false));
+        let lines = Rc::new(Lines::new(IDLE, None));
         // Answers are kept for a while after they were given.
         let sessions = Rc::new(Sessions::new(2 * bounds.stmts));
         let (open, begun) = (Cell::new(0), Cell::new(0));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod config;
 mod engines;
+mod exchange;
 mod front;
 pub mod invariants;
 mod link;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,6 +1,7 @@
 //! A TCP connection that is closed once it has stood idle for too long, whoever holds it: guards against silent
 //! machines that would hold descriptors, and against pooled connections that the other end closes first.
 
+use crate::exchange::Exchange;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -19,8 +20,10 @@
     idle: Cell<Option<Instant>>,
     /// What may yet be read while a request is open: a client may send ahead, but not without bound.
     allowed: Cell<usize>,
-    /// Whether what is read and written makes it less idle.
-    traffic_counts: bool,
+    /// Of a connection to an engine: what it may carry. What is read and written then makes it less idle.
+    exchange: Option<RefCell<Exchange>>,
+    /// Bytes of the call that is open, or was last, were written.
+    sent: Cell<bool>,
     ended: Cell<bool>,
     end: Notify,
 }
@@ -45,11 +48,73 @@
     }
 
     fn hear(&self) {
-        if self.traffic_counts {
+        if self.exchange.is_some() {
             self.idle.set(Some(Instant::now()));
         }
     }
 
+    /// A call is about to be written to an engine.
+    pub fn ask(&self) {
+        self.sent.set(false);
+    }
+
+    pub fn sent(&self) -> bool {
+        self.sent.get()
+    }
+
+    /// Is here still, and showed nothing irregular: it may carry another call.
+    pub fn is_free(&self) -> bool {
+        self.stream.borrow().is_some() && self.exchange.as_ref().is_some_and(|x| x.borrow().is_free())
+    }
+
+    /// Before the first byte of a call: a connection that has ended by then, or on which something waits that no call
+    /// asked for, must not carry it. As nothing of the call was written, it may go out on another one.
+    fn check_free(&self, stream: &TcpStream) -> io::Result<()> {
+        let Some(exchange) = self.exchange.as_ref().filter(|_| !self.sent.get()) else { return Ok(()) };
+        let mut exchange = exchange.borrow_mut();
+        if !exchange.is_free() || !is_quiet(stream) {
+            exchange.spoil();
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        exchange.ask();
+        Ok(())
+    }
+
+    /// Hands on what an engine sent as far as it is good.
+    fn read_answer(
+        &self,
+        exchange: &mut Exchange,
+        stream: &mut TcpStream,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut bytes = [0; 4096];
+        // An answer is not handed on before what has come behind it was seen.
+        let ended = loop {
+            let mut raw = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut *stream).poll_read(cx, &mut raw) {
+                Poll::Ready(Ok(())) if !raw.filled().is_empty() => exchange.hear(raw.filled())?,
+                Poll::Pending => break Poll::Pending,
+                // awc takes an answer that is cut by its connection's end for a whole one.
+                ended => {
+                    let whole = !exchange.awaits();
+                    exchange.spoil();
+                    break if whole { ended } else { Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())) };
+                }
+            }
+            if exchange.good() >= HELD {
+                break Poll::Pending;
+            }
+        };
+        match exchange.pass_on(buf.remaining()) {
+            Some(good) => {
+                buf.put_slice(&good);
+                Poll::Ready(Ok(()))
+            }
+            None => ended,
+        }
+    }
+
     fn idle_for(&self) -> Option<Duration> {
         self.idle.get().map(|since| since.elapsed())
     }
@@ -60,15 +125,37 @@
         }
     }
 
-    fn close(&self) {
+    /// The connection itself; whoever still holds the line finds it closed.
+    pub fn take(&self) -> Option<TcpStream> {
+        self.stream.borrow_mut().take()
+    }
+
+    pub fn close(&self) {
         let stream = self.stream.borrow_mut().take();
         drop(stream);
         self.wake();
     }
 }
 
+/// Nothing has come on it that was not read, and neither has its end.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    let waits = socket2::SockRef::from(stream).peek(&mut byte);
+    waits.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// Of what an engine sent, held at most before it is handed on.
+const HELD: usize = 16 * 1024;
+
 pub struct Link(pub Rc<Line>);
 
+/// Whoever else still knows of the connection, it is closed with this.
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.0.close();
+    }
+}
+
 impl fmt::Debug for Link {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Link")
@@ -82,12 +169,13 @@
 pub struct Lines {
     lines: RefCell<Vec<Weak<Line>>>,
     idle: Duration,
-    traffic_counts: bool,
+    /// Of connections to engines: the longest answer.
+    answer: Option<usize>,
 }
 
 impl Lines {
-    pub fn new(idle: Duration, traffic_counts: bool) -> Lines {
-        Lines { lines: RefCell::default(), idle, traffic_counts }
+    pub fn new(idle: Duration, answer: Option<usize>) -> Lines {
+        Lines { lines: RefCell::default(), idle, answer }
     }
 
     pub fn link(&self, stream: TcpStream) -> Link {
@@ -98,7 +186,8 @@
             readers: RefCell::default(),
             idle: Cell::new(Some(Instant::now())),
             allowed: Cell::new(0),
-            traffic_counts: self.traffic_counts,
+            exchange: self.answer.map(|most| RefCell::new(Exchange::new(most))),
+            sent: Cell::new(false),
             ended: Cell::new(false),
             end: Notify::new(),
         });
@@ -146,13 +235,20 @@
         let held_back = line.idle.get().is_none() && line.allowed.get() == 0;
         let mut stream = line.stream.borrow_mut();
         let Some(stream) = stream.as_mut() else { return Poll::Ready(Ok(())) };
+        if let Some(exchange) = &line.exchange {
+            let read = line.read_answer(&mut exchange.borrow_mut(), stream, cx, buf);
+            match &read {
+                Poll::Pending => *line.readers.borrow_mut() = Some(cx.waker().clone()),
+                Poll::Ready(_) => line.hear(),
+            }
+            return read;
+        }
         let before = buf.filled().len();
         let read = if held_back { Poll::Pending } else { Pin::new(stream).poll_read(cx, buf) };
         match &read {
             Poll::Pending => *line.readers.borrow_mut() = Some(cx.waker().clone()),
             Poll::Ready(Ok(())) if buf.filled().len() > before => {
                 line.allowed.set(line.allowed.get().saturating_sub(buf.filled().len() - before));
-                line.hear();
             }
             Poll::Ready(_) => {
                 line.ended.set(true);
@@ -165,11 +261,16 @@
 
 impl AsyncWrite for Link {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.0.hear();
-        match self.0.stream.borrow_mut().as_mut() {
-            Some(stream) => Pin::new(stream).poll_write(cx, buf),
-            None => Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
-        }
+        let line = &self.0;
+        line.hear();
+        let mut stream = line.stream.borrow_mut();
+        let Some(stream) = stream.as_mut() else {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        };
+        line.check_free(stream)?;
+        let written = Pin::new(stream).poll_write(cx, buf);
+        line.sent.set(line.sent.get() || matches!(written, Poll::Ready(Ok(1..))));
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -218,7 +319,7 @@
 
     #[actix_rt::test]
     async fn what_is_idle_is_closed_and_its_reader_woken_and_what_is_open_is_not() {
-        let lines = Lines::new(Duration::ZERO, false);
+        let lines = Lines::new(Duration::ZERO, None);
         let (mut there, mut idle) = pair(&lines).await;
         let (_busy_there, busy) = pair(&lines).await;
         busy.0.open(10);
@@ -236,7 +337,7 @@
 
     #[actix_rt::test]
     async fn no_more_is_read_ahead_than_allowed_while_a_call_is_open() {
-        let lines = Lines::new(Duration::from_secs(60), false);
+        let lines = Lines::new(Duration::from_secs(60), None);
         let (there, mut link) = pair(&lines).await;
         link.0.open(4);
         there.writable().await.unwrap();
@@ -256,4 +357,27 @@
         line.rest();
         assert_eq!(&reader.await.unwrap(), b"5678");
     }
+
+    /// A call must not go out on a connection that has ended or holds what no call asked for; nothing of it is written then.
+    #[actix_rt::test]
+    async fn a_call_goes_out_on_a_quiet_connection_only() {
+        use tokio::io::AsyncWriteExt as _;
+        let lines = Lines::new(Duration::from_secs(60), Some(100));
+        let (mut there, mut quiet) = pair(&lines).await;
+        quiet.write_all(b"call").await.unwrap();
+        let mut bytes = [0; 4];
+        there.read_exact(&mut bytes).await.unwrap();
+        assert!(&bytes == b"call" && quiet.0.sent() && !quiet.0.is_free());
+        for ended in [true, false] {
+            let (mut there, mut link) = pair(&lines).await;
+            there.write_all(b"HTTP/1.1 200 X\r\n").await.unwrap();
+            if ended {
+                drop(there);
+            }
+            while is_quiet(link.0.stream.borrow().as_ref().unwrap()) {
+                tokio::task::yield_now().await;
+            }
+            assert!(link.write_all(b"call").await.is_err() && !link.0.sent() && !link.0.is_free());
+        }
+    }
 }
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -13,7 +13,7 @@
 use bramblewharf_site::Names;
 use slog::Logger;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
@@ -74,8 +74,6 @@
     peers: Option<Peers>,
     callers: Cell<u64>,
     answers: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
-    /// Where the engines of the list listen.
-    addresses: RefCell<HashSet<SocketAddr>>,
     running: RefCell<HashMap<(Id, usize), JoinHandle<()>>>,
     /// Cancels under way: the same statement waits for them before it goes to that engine again.
     stopping: RefCell<HashMap<(Id, Id), JoinHandle<()>>>,
@@ -223,13 +221,7 @@
                 }
             };
             slog::info!(self.log, "list of engines"; "no" => known.no, "engines" => known.list.len());
-            let addresses: HashSet<SocketAddr> = known.list.iter().map(|listed| listed.address).collect();
-            let gone = !self.addresses.borrow().is_subset(&addresses);
-            self.addresses.replace(addresses);
             self.input(Input::Engines(ListKind::All, known.list));
-            if gone {
-                self.engines.renew();
-            }
         }
     }
 
@@ -238,7 +230,7 @@
         let ill = reducer.take_ill();
         slog::info!(self.log, "figures"; "counts" => ?reducer.counts, "held" => reducer.held(),
             "open" => reducer.open(), "ill" => ?ill, "bad_calls" => self.bad_calls.get(),
-            "connections" => self.engines.lines.count(), "faults" => self.faults.get(),
+            "connections" => self.engines.connections(), "faults" => self.faults.get(),
             "broken" => ?reducer.broken.counts().filter(|(_, n)| *n > 0).collect::<Vec<_>>());
     }
 }
@@ -289,7 +281,6 @@
             peers,
             callers: Cell::new(0),
             answers: RefCell::default(),
-            addresses: RefCell::new(start.known.list.iter().map(|listed| listed.address).collect()),
             running: RefCell::default(),
             stopping: RefCell::default(),
             due: Notify::new(),
@@ -318,7 +309,7 @@
             loop {
                 sleep(SWEEP).await;
                 swept.lines.sweep();
-                engines.engines.lines.sweep();
+                engines.engines.sweep();
                 if logged.elapsed() >= FIGURES {
                     logged = Instant::now();
                     engines.log_figures();
@@ -396,7 +387,7 @@
         self.core.running.borrow().values().for_each(JoinHandle::abort);
         self.core.stopping.borrow().values().for_each(JoinHandle::abort);
         self.front.lines.close_all();
-        self.core.engines.lines.close_all();
+        self.core.engines.close_all();
     }
 }
 
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -48,6 +48,10 @@
     Answer(u16, String, Vec<u8>),
     /// These bytes, and the end of the connection, or nothing more.
     Cut(Vec<u8>),
+    /// These bytes, and then whatever the next call brings.
+    Raw(Vec<u8>),
+    /// These bytes, and zeros for as long as they are taken.
+    Endless(Vec<u8>),
     Frozen(&'static [u8]),
     Reset,
     Silent,
@@ -97,6 +101,14 @@
                     let _ = stream.shutdown(Shutdown::Both);
                     return;
                 }
+                Reply::Raw(bytes) => {
+                    let _ = write.write_all(&bytes);
+                }
+                Reply::Endless(bytes) => {
+                    let _ = write.write_all(&bytes);
+                    while write.write_all(&[0; 4096]).is_ok() {}
+                    return;
+                }
                 Reply::Reset => {
                     socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
                     return;
@@ -357,6 +369,85 @@
     }
 }
 
+/// Whatever came of an answer on its way: the work ran, so its end and its pages are asked for again on another connection,
+/// and the statement is not sent again.
+#[test]
+fn what_is_spoilt_on_its_way_is_asked_for_again() {
+    let head = |fields: &str, body: &str| format!("HTTP/1.1 200 X\r\n{fields}\r\n{body}").into_bytes();
+    let spoilt: [fn(&dyn Fn(&str, &str) -> Vec<u8>) -> Reply; 15] = [
+        |_| Reply::Raw(b"\x00\xff\x80 noise\r\n\r\n".to_vec()),
+        |head| Reply::Raw(head(&format!("X-Long: {}", "x".repeat(20_000)), "")),
+        |head| Reply::Endless(head("X-Long: ", "")[..26].to_vec()),
+        |head| {
+            Reply::Endless(head("Page-Count: 2\r\nPage-No: 1\r\nContent-Length: 3000000000\r\n", "z\t9\tz\n"))
+        },
+        |head| Reply::Raw(head("Page-Count: 2\r\nPage-No: 1\r\nContent-Length: 6\r\n", "z\t9\tz\ny\t9\tz\n")),
+        |head| {
+            Reply::Raw(head(
+                "Page-Count: 2\r\nPage-No: 1\r\nContent-Length: 6\r\nContent-Length: 6\r\n",
+                "z\t9\tz\n",
+            ))
+        },
+        |head| Reply::Cut(head("Page-Count: 2\r\nPage-No: 1\r\n", "z\t9\tz\n")),
+        |head| Reply::Cut(head("Page-Count: 2\r\nPage-No: 1\r\nContent-Length: 60\r\n", "z\t9\tz\n")),
+        |head| Reply::Raw(head("Page-Count: 2\r\nPage-No: 1\r\nContent-Length: 5\r\n", "z\t9\tz")),
+        |head| Reply::Raw(head("Content-Length: 6\r\n", "z\t9\tz\n")),
+        |head| {
+            let chunk = "6\r\nz\t9\tz\n\r\n";
+            Reply::Cut(head("Page-Count: 2\r\nPage-No: 1\r\nTransfer-Encoding: chunked\r\n", chunk))
+        },
+        |_| Reply::Cut(Vec::new()),
+        |_| Reply::Reset,
+        |_| Reply::Frozen(b"HTTP/1.1 200 X\r\nContent-Le"),
+        |_| Reply::Silent,
+    ];
+    for (at, spoilt) in spoilt.into_iter().enumerate() {
+        for bad_path in ["/x", "/x/0000000000000001/0", "/x/0000000000000001/1"] {
+            let left = Mutex::new(2);
+            let engine = Engine::start(move |call| {
+                let mut left = left.lock().unwrap();
+                if call.path == bad_path && *left > 0 {
+                    *left -= 1;
+                    return spoilt(&head);
+                }
+                match call.path.as_str() {
+                    "/x" => answer(202, "", b""),
+                    "/x/0000000000000001/0" => answer(200, "Page-Count: 2\r\n", b"a\t1\tx\n"),
+                    _ => answer(200, "Page-No: 1\r\n", b"b\t2\ty\n"),
+                }
+            });
+            let served = Served::before(&[engine.address]);
+            let answered = served.ask(&call("once", 1, 60_000, ""));
+            let rows = json!({"values": [["a", "1", "x"], ["b", "2", "y"]]});
+            assert_eq!((engine.posts(), answered.body), (1, rows), "case {at} at {bad_path}");
+        }
+    }
+}
+
+/// What comes before a good answer, or behind it, is no part of it, and no statement ever gets another's result.
+#[test]
+fn more_than_an_answer_costs_its_connection_only() {
+    let well = |call: &Call| {
+        let row = call.headers.get("x-ticket").cloned().unwrap_or_default() + "\n";
+        format!("HTTP/1.1 200 X\r\nPage-Count: 1\r\nContent-Length: {}\r\n\r\n{row}", row.len()).into_bytes()
+    };
+    let early = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n";
+    let ways: [fn(&[u8], &[u8]) -> Vec<u8>; 3] = [
+        |_, well| [well, well].concat(),
+        |early, well| [early, well].concat(),
+        |early, well| [well, early, b"\x00\xff"].concat(),
+    ];
+    for way in ways {
+        let engine = Engine::start(move |call| Reply::Raw(way(early, &well(call))));
+        let served = Served::before(&[engine.address]);
+        for id in 0..30 {
+            let answered = served.ask(&call("once", id, 60_000, ""));
+            assert_eq!(answered.body, json!({"values": [[format!("{id:016x}")]]}));
+        }
+        assert_eq!(engine.posts(), 30);
+    }
+}
+
 /// An engine that says nothing more, or stops within a page, costs a statement its time, and nothing beyond that.
 #[test]
 fn a_silent_engine_costs_a_statement_its_time_only() {
