--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -374,7 +374,8 @@
 #[test]
 fn what_is_spoilt_on_its_way_is_asked_for_again() {
     let head = |fields: &str, body: &str| format!("HTTP/1.1 200 X\r\n{fields}\r\n{body}").into_bytes();
-    let spoilt: [fn(&dyn Fn(&str, &str) -> Vec<u8>) -> Reply; 15] = [
+    type Spoilt = fn(&dyn Fn(&str, &str) -> Vec<u8>) -> Reply;
+    let spoilt: [Spoilt; 15] = [
         |_| Reply::Raw(b"\x00\xff\x80 noise\r\n\r\n".to_vec()),
         |head| Reply::Raw(head(&format!("X-Long: {}", "x".repeat(20_000)), "")),
         |head| Reply::Endless(head("X-Long: ", "")[..26].to_vec()),
@@ -432,7 +433,8 @@
         format!("HTTP/1.1 200 X\r\nPage-Count: 1\r\nContent-Length: {}\r\n\r\n{row}", row.len()).into_bytes()
     };
     let early = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n";
-    let ways: [fn(&[u8], &[u8]) -> Vec<u8>; 3] = [
+    type Way = fn(&[u8], &[u8]) -> Vec<u8>;
+    let ways: [Way; 3] = [
         |_, well| [well, well].concat(),
         |early, well| [early, well].concat(),
         |early, well| [well, early, b"\x00\xff"].concat(),
