--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -26,6 +26,8 @@
 /// answer was lost the decisions would take an engine for slow that has done its work. A page is there at once.
 const SECOND_ASK: Duration = Duration::from_millis(100);
 const PAGE_WITHIN: Duration = Duration::from_millis(100);
+/// That is done for so long after any call had to be made again: on good paths a second connection is of no use.
+const WARY: Duration = Duration::from_secs(30);
 /// Pause before an engine is asked again that could not be reached or broke off twice, or that answers too fast.
 const PAUSE: Duration = Duration::from_millis(25);
 const TOO_FAST: Duration = Duration::from_millis(5);
@@ -43,6 +45,7 @@
     idle: Duration,
     /// Calls that broke off, stayed silent or brought what is no answer, since the start.
     again: Cell<u64>,
+    last_again: Cell<Option<Instant>>,
     names: Names,
     bounds: Bounds,
     dial_timeout: Duration,
@@ -138,7 +141,16 @@
         // Closed well before engines close them: a call must not cross such a close.
         let idle = engine_idle / 3;
         let lines = Rc::new(Lines::of_engines(bounds.page, idle));
-        Engines { lines, resting: RefCell::default(), idle, again: Cell::new(0), names, bounds, dial_timeout }
+        Engines {
+            lines,
+            resting: RefCell::default(),
+            idle,
+            again: Cell::new(0),
+            last_again: Cell::new(None),
+            names,
+            bounds,
+            dial_timeout,
+        }
     }
 
     /// Connections that are open.
@@ -152,6 +164,7 @@
 
     fn count_again(&self) {
         self.again.set(self.again.get() + 1);
+        self.last_again.set(Some(Instant::now()));
     }
 
     /// Closes what has been idle for too long; to be called now and then.
@@ -294,11 +307,15 @@
     /// yet be on its way, whatever else an engine says of it means nothing. Leaves room for those that have not asked at all.
     async fn ask_beside(&self, way: &mut Way, id: &str) -> Reply {
         sleep(SECOND_ASK).await;
-        if self.connections() < self.bounds.engines * 3 / 4 {
-            if let Call::Answered(reply) = self.get(way, id, 0, UNANSWERED).await {
-                if matches!(self.read(&reply), News::Completed(_)) {
-                    return reply;
-                }
+        let wary = self.last_again.get().is_some_and(|at| at.elapsed() < WARY);
+        for _ in 0..TRIES {
+            if !wary || self.connections() >= self.bounds.engines * 3 / 4 {
+                break;
+            }
+            match self.get(way, id, 0, UNANSWERED).await {
+                Call::Answered(reply) if matches!(self.read(&reply), News::Completed(_)) => return reply,
+                Call::Lost => {}
+                _ => break,
             }
         }
         std::future::pending().await
