--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -48,6 +48,8 @@
 const LONGEST_NAME: usize = 128;
 /// Times what the settings say that clients of a workload wait, beyond which no client of it waits.
 const LONGER: f64 = 2.0;
+/// And whatever they say, nobody waits for more than a day.
+const LONGEST_WAIT_MS: f64 = 24.0 * 3600.0 * 1e3;
 /// Beyond these an estimate is no estimate, whatever the engines are.
 const LONGEST_WORK_MS: f64 = 1e8;
 const MOST_MEM_MB: f64 = 1e7;
@@ -329,8 +331,8 @@
     let id = field("X-Correlation-Id", "X-Correlation-Id: comes twice")?;
     let id = id.filter(|id| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()));
     let id = id.ok_or(bad("X-Correlation-Id: is not 16 hex digits"))?;
-    let wait =
-        field("X-Deadline-Ms", "X-Deadline-Ms: comes twice")?.and_then(|ms| plain_number(ms, f64::MAX));
+    let wait = field("X-Deadline-Ms", "X-Deadline-Ms: comes twice")?
+        .and_then(|ms| plain_number(ms, LONGEST_WAIT_MS));
     let wait = wait.ok_or(bad("X-Deadline-Ms: is not a time in milliseconds"))?;
     // Clients wait for as long as the settings say, and those that are late with sending some milliseconds longer.
     let longest = core.longest.get(at).copied().flatten();
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -349,7 +349,11 @@
         let bounded = line.idle.get().is_none() || line.condemned.get();
         let held_back = bounded && line.allowed.get() == 0;
         let mut stream = line.stream.borrow_mut();
-        let Some(stream) = stream.as_mut() else { return Poll::Ready(Ok(())) };
+        let Some(stream) = stream.as_mut() else {
+            // An answer that we cut ourselves is no whole one either.
+            let cut = || Err(io::ErrorKind::ConnectionAborted.into());
+            return Poll::Ready(line.exchange.as_ref().map_or(Ok(()), |_| cut()));
+        };
         if let Some(exchange) = &line.exchange {
             let read = line.read_answer(&mut exchange.borrow_mut(), stream, cx, buf);
             match &read {
@@ -510,6 +514,8 @@
         let mut bytes = [0; 4];
         there.read_exact(&mut bytes).await.unwrap();
         assert!(&bytes == b"call" && quiet.0.sent() && !quiet.0.is_free());
+        quiet.0.close();
+        assert!(quiet.read(&mut bytes).await.is_err());
         for ended in [true, false] {
             let (mut there, mut link) = pair(&lines).await;
             there.write_all(b"HTTP/1.1 200 X\r\n").await.unwrap();
