--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1293,6 +1293,63 @@
     assert_eq!(program.child.wait().unwrap().code(), Some(0));
 }
 
+/// Engines with always new ids at the addresses of gone ones, clients with always new ids and connections, some of which stay:
+/// what the program holds does not grow with how many there have been.
+#[test]
+fn the_program_holds_no_more_for_all_that_has_been() {
+    let engines = [Engine::well(), Engine::well()];
+    let at: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let (names, asked) = name_service(move |number, id| {
+        let (old, new) = (format!("e{number}"), format!("e{}", number + 1));
+        vec![list_answer(
+            id,
+            number as u32 + 2,
+            &[(&old, at[number % 2], 1), (&new, at[(number + 1) % 2], 0)],
+        )]
+    });
+    let mut configuration = configuration(&[]);
+    let listen = nobody();
+    (configuration["listen"], configuration["names"]) = (json!(listen.to_string()), json!(names.to_string()));
+    configuration["limits"] = json!({"cores": 0.2, "memory_mb": 32, "sockets": 128});
+    // Engines that start are warm at once here.
+    configuration["settings"]["rules"] = json!({"coldUs": 1, "tipAfterUs": 1000});
+    let file = temporary("long.json");
+    std::fs::write(&file, configuration.to_string()).unwrap();
+    let mut program = Program::start(&file);
+    program.wait("list of engines");
+    let held = |program: &Program| {
+        let proc = format!("/proc/{}", program.child.id());
+        let status = std::fs::read_to_string(format!("{proc}/status")).unwrap();
+        let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let kb: u64 = rss.trim().trim_end_matches(" kB").parse().unwrap();
+        (kb, std::fs::read_dir(format!("{proc}/fd")).unwrap().count())
+    };
+    let mut staying = std::collections::VecDeque::new();
+    let mut round = |from: u64| {
+        for id in from..from + 250 {
+            let mut stream = TcpStream::connect(listen).unwrap();
+            stream.set_read_timeout(Some(LONG)).unwrap();
+            stream.write_all(call("read", id, 60_000, "").as_bytes()).unwrap();
+            let mut read = BufReader::new(stream);
+            assert!(matches!(Answered::read(&mut read).status, 200 | 503));
+            staying.push_back(read);
+            if staying.len() > 200 {
+                staying.pop_front();
+            }
+        }
+        while asked.try_recv().is_ok() {}
+        asked.recv_timeout(LONG).unwrap();
+    };
+    round(0);
+    let (kb, _) = held(&program);
+    (1..6).for_each(|number| round(number * 1000));
+    let (later_kb, descriptors) = held(&program);
+    assert!(descriptors <= 128 && later_kb < kb + 2_000, "{descriptors} descriptors, {kb} kB, {later_kb} kB");
+    program.signal("-TERM");
+    assert_eq!(program.child.wait().unwrap().code(), Some(0));
+    std::fs::remove_file(&file).unwrap();
+}
+
 /// The program itself: SIGTERM loses nothing and ends it with 0, and after a kill its address is free at once.
 #[test]
 fn the_program_ends_by_sigterm_and_starts_again_after_a_kill() {
