A lost half is no common cause, refusals are off our ration, our own pauses no silence

Cause: trouble_is_common took half of the engines aside as a common cause, so none was set aside, each other statement went to the dead half, and our ration of further executions, which counted refused connections, was used up.

Change: trouble is common only where most engines that are not aside do not answer well either; further executions after refused connections alone are not on our ration (a site's budget counts them as before); no wait for a sign and no patience is under 100 ms; a beat that comes late judges nobody and that time is no silence; a time-out that comes late is put off by as much (reducer); a statement that was elsewhere before is not spent on engines set aside.

--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -18,6 +18,9 @@
 /// rest, so that a client is told before it stops waiting.
 const ON_ITS_WAY: Duration = Duration::from_millis(4);
 
+/// A timer that is later than this shows that the loop stood still: what came meanwhile has not been read yet.
+const STOOD_STILL: Duration = Duration::from_millis(10);
+
 /// What goes on unchanged to an engine.
 #[derive(Debug)]
 pub struct Parcel {
@@ -169,6 +172,8 @@
     pub executions: u64,
     pub stopped: u64,
     pub timed_out: u64,
+    /// Time-outs that came late, as the gateway's loop had stood still, and were put off by as much.
+    pub waited_on: u64,
     /// By what engines and the network told of executions.
     pub full: u64,
     pub refused: u64,
@@ -251,8 +256,9 @@
         self.settle(now);
         // One at a time: a loop that was late must not take a statement's end before what leads to it.
         while let Some(entry) = self.due.first_entry().filter(|first| first.key().0 <= now) {
-            let due = entry.remove();
-            self.fall_due(now, due);
+            let (at, due) = (entry.key().0, entry.get().clone());
+            entry.remove();
+            self.fall_due(now, now - at, due);
             self.settle(now);
         }
         std::mem::take(&mut self.effects)
@@ -406,8 +412,7 @@
         if stopping.is_none() {
             self.effects.push(Effect::Stop { id: id.clone(), execution, engine, address });
         }
-        let open = self.stmts.get(id).and_then(|s| s.open);
-        let last = open.map_or(now, |(guard, _)| guard.saturating_sub(GUARD + ON_ITS_WAY + self.tick));
+        let last = self.last_moment(now, id);
         if !self.one_at_a_time || now >= last {
             return self.end(now, id, execution, stopping.unwrap_or(outcome).into());
         }
@@ -420,6 +425,26 @@
         before.into_iter().for_each(|before| drop(self.due.remove(&before)));
     }
 
+    /// Time in which this gateway stood still is no time that an execution was given: it gets as much again, within the
+    /// statement's own time.
+    fn wait_on(&mut self, now: Duration, late: Duration, id: &Id, execution: usize) -> bool {
+        let last = self.last_moment(now, id);
+        if now >= last || self.out(id, execution).is_none_or(|x| x.stopping.is_some()) {
+            return false;
+        }
+        let at = self.set(last.min(now + late), Due::Execution(id.clone(), execution));
+        let x = self.stmts.get_mut(id).and_then(|s| s.executions.get_mut(execution));
+        x.into_iter().for_each(|x| x.out = Some(at));
+        self.counts.waited_on += 1;
+        true
+    }
+
+    /// Until when an execution of a statement may be out.
+    fn last_moment(&self, now: Duration, id: &Id) -> Duration {
+        let open = self.stmts.get(id).and_then(|s| s.open);
+        open.map_or(now, |(guard, _)| guard.saturating_sub(GUARD + ON_ITS_WAY + self.tick))
+    }
+
     fn list(&mut self, kind: ListKind, list: Vec<Listed>) {
         if matches!(kind, ListKind::All | ListKind::Remembered) {
             self.engines.clear();
@@ -432,11 +457,13 @@
         self.news.push_back(Event::Engines(kind, entries));
     }
 
-    fn fall_due(&mut self, now: Duration, due: Due) {
+    fn fall_due(&mut self, now: Duration, late: Duration, due: Due) {
         match due {
             Due::Mark(mark) => self.news.push_back(Event::Timer(mark)),
             Due::Execution(id, execution) => {
-                self.stop(now, &id, execution, Outcome::TimedOut);
+                if late < STOOD_STILL || !self.wait_on(now, late, &id, execution) {
+                    self.stop(now, &id, execution, Outcome::TimedOut);
+                }
             }
             Due::Statement(id) => {
                 self.broken.check(Invariant::AnsweredInTime, false);
--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -318,3 +318,42 @@
     let found = std::panic::catch_unwind(move || broken.check(Invariant::OneAnswer, false));
     assert_eq!(found.is_err(), cfg!(debug_assertions));
 }
+
+/// Time in which the gateway stood still is no time that an engine was given: what came meanwhile is heard first.
+#[test]
+fn a_late_time_out_is_put_off_by_as_much_and_answers_that_waited_are_heard() {
+    let mut r = reducer(true, 9);
+    // Fast engines, so that a statement's patience is short.
+    let mut at = START;
+    for n in 0..200 {
+        at += ms(1);
+        let id = format!("f{n}");
+        engine_of(&r.step(at, statement(&id, n, 0, 20_000)));
+        r.step(at + Duration::from_micros(400), ended(&id, 0, Outcome::Completed));
+    }
+    at += ms(40);
+    let timeout = match &r.step(at, statement("s", 900, 0, 20_000))[..] {
+        [Effect::Start { timeout, .. }] => *timeout,
+        other => panic!("{other:?}"),
+    };
+    assert!((ms(100)..ms(1000)).contains(&timeout), "{timeout:?}");
+    // The loop stands still for three seconds; the answer came meanwhile and is read next.
+    let late = at + timeout + ms(3000);
+    assert!(r.step(late, Input::Wake).is_empty());
+    assert_eq!(r.counts.waited_on, 1);
+    let done = r.step(late + ms(1), ended("s", 0, Outcome::Completed));
+    assert!(matches!(answers(done)[..], [(900, Answer::Completed(_))]));
+    // Without an answer it ends so much later, once and in time.
+    at = late + ms(100);
+    r.step(at, statement("t", 901, 0, 20_000));
+    assert!(r.step(at + ms(10_000), Input::Wake).is_empty());
+    let mut answered = Vec::new();
+    let mut stopped = 0;
+    while let Some(due) = r.due().filter(|due| *due < at + ms(21_000)) {
+        let effects = r.step(due, Input::Wake);
+        stopped += effects.iter().filter(|e| matches!(e, Effect::Stop { .. })).count();
+        answered.extend(answers(effects));
+    }
+    assert!(stopped >= 1 && answered.len() == 1, "{stopped} {answered:?}");
+    assert!(r.broken.counts().all(|(_, n)| n == 0));
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,9 +37,10 @@
 const FAULTS_BACK: f64 = 0.2;
 const PAUSE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
 /// Times what an execution usually takes: unheard for so long an engine is silent; one that may be repeated
-/// is given up.
+/// is given up. Neither is shorter than what late timers and a scheduler's pauses can be told from.
 const SILENT_TIMES: f64 = 4.0;
 const PATIENCE_TIMES: f64 = 10.0;
+const SHORTEST_WAIT: Duration = Duration::from_millis(100);
 /// Our own ration of further executions, beside any that the site states.
 const RATION: Budget = Budget { span: Duration::from_secs(5), free: 10.0, share: 0.3 };
 /// Share of what a cold engine stands that is used, and of its cores that a warm one surely works at.
@@ -96,9 +97,13 @@
     /// Emptied of a statement when it is over and its last execution has its outcome.
     stmts: BTreeMap<Id, Stmt>,
     lines: BTreeMap<Id, Line>,
-    /// Times of statements taken and of further executions; emptied as the budget's span passes.
+    /// Times of statements taken, and of further executions with whether they are on our own ration; emptied as
+    /// the budget's span passes.
     taken: VecDeque<Duration>,
-    extras: VecDeque<Duration>,
+    extras: VecDeque<(Duration, bool)>,
+    /// When the next beat is due, and whether the last one was too late to judge by.
+    beat_due: Duration,
+    unjudged: bool,
     last: Option<Id>,
     /// Whether a slice is less than the heaviest workload weighs; threads a core that engines tell of late.
     crumbs: bool,
@@ -137,8 +142,8 @@
         let mut chooser = Chooser {
             rows: rows.collect(), rng: WyRand::new_seed(seed), last: None, actions: Vec::new(),
             engines: BTreeMap::new(), stmts: BTreeMap::new(), lines: BTreeMap::new(),
-            taken: VecDeque::new(), extras: VecDeque::new(),
-            crumbs, usual_told: Mean(0.0, false), told_at: now, usual_pace: Mean(1.0, false),
+            taken: VecDeque::new(), extras: VecDeque::new(), beat_due: now,
+            unjudged: false, crumbs, usual_told: Mean(0.0, false), told_at: now, usual_pace: Mean(1.0, false),
             list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
             site,
         };
@@ -267,8 +272,9 @@
         let told = engine.told.map_or(usual, |(at, told)| usual + (told - usual) * fresh(at));
         (told * engine.cores + engine.since * f64::from(self.site.gateways).sqrt()).max(engine.load)
     }
-    /// What speaks against an engine that fits: least another location where crossing is priced, most a load
-    /// that holds the table group, for a reader that would stand still.
+    /// What speaks against an engine that fits: least another location where crossing is priced, more a load
+    /// that holds the table group, for a reader that would stand still, most that it is set aside, for a
+    /// statement that was elsewhere before: it must not spend all its executions on trying such engines.
     fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
         let used = (self.load(now, engine) + self.weight(stmt)) / self.capacity(engine);
         let steps = (used * STEPS).ceil().clamp(0.0, 99.0) as u32;
@@ -279,7 +285,8 @@
                 || self.crumbs && terms.holds_group && !home
         });
         let abroad = self.site.crossing_priced && engine.entry.zone != self.site.zone;
-        u32::from(held) * 1000 + steps * 2 + u32::from(abroad)
+        let trial = engine.aside.is_some() && !stmt.executions.is_empty();
+        u32::from(trial) * 10_000 + u32::from(held) * 1000 + steps * 2 + u32::from(abroad)
     }
     fn weight(&self, stmt: &Stmt) -> f64 {
         self.rows[stmt.said.workload].terms.threads * stmt.coefficient
@@ -290,11 +297,14 @@
         }
         engine.cores * THREADS_PER_CORE / f64::from(self.site.gateways.max(1))
     }
-    /// When half the engines or more look bad, the cause is taken as common and none is shunned.
+    /// When half the engines or more look bad, and most of the others do not answer well either, the cause is
+    /// taken as common and none is shunned. A lost hall is no common cause while the rest answers well.
     fn trouble_is_common(&self) -> bool {
         let live = self.engines.values().filter(|e| e.entry.state == EngineState::In);
-        let (all, aside) = live.fold((0, 0), |(n, a), e| (n + 1, a + usize::from(e.aside.is_some())));
-        aside * 2 >= all
+        let (all, aside, well) = live.fold((0, 0, 0), |(all, aside, well), e| {
+            (all + 1, aside + usize::from(e.aside.is_some()), well + usize::from(e.answers_well()))
+        });
+        aside * 2 >= all && well * 2 <= all - aside
     }
     fn has_turn(&self, now: Duration, stmt: &Stmt) -> bool {
         let ordered = self.rows[stmt.said.workload].terms.ordered;
@@ -319,7 +329,7 @@
             (Rule::Order, !self.has_turn(now, stmt)),
             (Rule::Placement, bound(&row.terms.zones, &to.entry.zone)),
             (Rule::Placement, bound(&row.terms.kinds, &to.entry.kind)),
-            (Rule::Budget, tries > 0 && !self.budget_has_room(now)),
+            (Rule::Budget, tries > 0 && !self.budget_has_room(now, stmt.cost_nothing())),
             (Rule::Cold, !self.cold_has_room(now, to, row)),
         ];
         broken.iter().find(|(_, broken)| *broken).map(|(rule, _)| *rule)
@@ -358,14 +368,16 @@
         let share = if self.crumbs { f64::from(u8::from(turn)) / 2.0 } else { 1.0 / gateways as f64 };
         now >= to.warm_at || sent + row.work.0 <= stands * COLD_CAUTION * share
     }
-    /// On the very edge of its span a further execution still counts, a statement taken no longer does.
-    fn budget_has_room(&self, now: Duration) -> bool {
-        let within = |budget: &Budget| {
-            let made = self.extras.iter().filter(|at| **at + budget.span >= now).count() as f64;
+    /// On the very edge of its span a further execution still counts, a statement taken no longer does. Our own
+    /// ration guards engines from work done again: one after refused connections alone is not on it.
+    fn budget_has_room(&self, now: Duration, free: bool) -> bool {
+        let within = |budget: &Budget, rationed: bool| {
+            let recent = self.extras.iter().filter(|(at, _)| *at + budget.span >= now);
+            let made = recent.filter(|(_, on_ration)| *on_ration || !rationed).count() as f64;
             let taken = self.taken.iter().filter(|at| **at + budget.span > now).count() as f64;
             made + 1.0 <= budget.free + budget.share * taken
         };
-        within(&RATION) && self.site.budget.as_ref().is_none_or(within)
+        (free || within(&RATION, true)) && self.site.budget.as_ref().is_none_or(|b| within(b, false))
     }
     /// The only place that sends, and it asks the gate.
     fn send(&mut self, now: Duration, id: &Id, engine: Id) -> Input {
@@ -377,8 +389,8 @@
         let usual = row.elapsed.0 * stmt.coefficient;
         let left = stmt.until - now - self.site.tick;
         let again = row.terms.effect != Effect::NonIdempotent && stmt.executions.len() + 1 < row.executions;
-        let patience = Duration::from_secs_f64(usual * PATIENCE_TIMES).max(self.site.tick);
-        let timeout = if again && self.budget_has_room(now) { left.min(patience) } else { left };
+        let patience = Duration::from_secs_f64(usual * PATIENCE_TIMES).max(SHORTEST_WAIT);
+        let timeout = if again && self.budget_has_room(now, false) { left.min(patience) } else { left };
         let (mem_mb, priority) = (self.grant(stmt, &engine), self.priority(stmt));
         let (work, group) = (row.work.0, stmt.said.table_group.filter(|_| row.terms.holds_group));
         let Some(to) = self.engines.get_mut(&engine) else { return Input::NoRoom };
@@ -390,11 +402,14 @@
         }
         let (zone, cell) = (to.entry.zone.clone(), to.entry.cell);
         self.hold(now, &engine, group, 1);
-        let execution =
-            Execution { engine: engine.clone(), zone, cell, sent: now, weight, usual, fate: Fate::Out };
+        #[rustfmt::skip]
+        let execution = Execution {
+            engine: engine.clone(), zone, cell, sent: now, quiet_since: now, weight, usual, fate: Fate::Out,
+            refused: false,
+        };
         let Some(stmt) = self.stmts.get_mut(id) else { return Input::NoRoom };
         if !stmt.executions.is_empty() {
-            self.extras.push_back(now);
+            self.extras.push_back((now, !stmt.cost_nothing()));
         }
         stmt.executions.push(execution);
         self.last = Some(engine.clone());
@@ -438,6 +453,7 @@
         let Some(x) = x else { return };
         let never = matches!(ended.outcome, Full | Refused | Skipped);
         x.fate = if never { Fate::NeverRan } else { Fate::MayHaveRun };
+        x.refused = ended.outcome == Refused;
         let (weight, coefficient) = (x.weight, stmt.coefficient);
         let (group, key) = (stmt.said.table_group, stmt.said.key.clone());
         let row = &mut self.rows[stmt.said.workload];
@@ -575,7 +591,9 @@
         if self.list_due.take_if(|due| now >= *due).is_some() {
             self.actions.push(Action::Watch);
         }
-        self.call_back_silent(now);
+        if !self.stood_still(now) {
+            self.call_back_silent(now);
+        }
         let due = self.stmts.iter().filter(|(_, s)| match s.state {
             State::Waiting => now + BEAT + self.site.tick >= s.until,
             _ => now >= s.until,
@@ -588,9 +606,8 @@
         }
         self.lines.retain(|_, l| !l.stmts.is_empty() || now < l.rest_until);
         let kept = self.site.budget.as_ref().map_or(RATION.span, |b| b.span.max(RATION.span));
-        for times in [&mut self.taken, &mut self.extras] {
-            times.drain(..times.partition_point(|at| *at + kept < now));
-        }
+        self.taken.drain(..self.taken.partition_point(|at| *at + kept < now));
+        self.extras.drain(..self.extras.partition_point(|(at, _)| *at + kept < now));
         let window = self.site.cold.window;
         for engine in self.engines.values_mut() {
             engine.cold_sends.retain(|(at, _)| *at + window >= now);
@@ -598,6 +615,20 @@
         }
         self.engines.retain(|_, e| e.entry.state != EngineState::Gone || !e.idle());
     }
+    /// Guards against a pause of this gateway's own taken for silence: that time does not count, and nobody is
+    /// judged before what came meanwhile is heard, unless every beat is late.
+    fn stood_still(&mut self, now: Duration) -> bool {
+        let late = now.saturating_sub(std::mem::replace(&mut self.beat_due, now + BEAT));
+        if late < BEAT / 5 {
+            self.unjudged = false;
+            return false;
+        }
+        self.engines.values_mut().for_each(|e| e.heard = now.min(e.heard + late));
+        let executions = self.stmts.values_mut().flat_map(|s| &mut s.executions);
+        executions.for_each(|x| x.quiet_since = now.min(x.quiet_since + late));
+        self.unjudged = !self.unjudged;
+        self.unjudged
+    }
     /// Guards against engines that take work and answer nothing (hung, vanished, cut off): set aside, and
     /// what may be repeated is called back to go elsewhere. Could hurt where all that runs there is long.
     fn call_back_silent(&mut self, now: Duration) {
@@ -605,7 +636,7 @@
         let silent = |x: &Execution| {
             let engine = self.engines.get(&x.engine).filter(|_| x.fate == Fate::Out)?;
             let limit = Duration::from_secs_f64(x.usual * SILENT_TIMES * engine.pace.0.max(1.0));
-            (now > x.sent.max(engine.heard) + limit).then(|| x.engine.clone())
+            (now > x.quiet_since.max(engine.heard) + limit.max(SHORTEST_WAIT)).then(|| x.engine.clone())
         };
         let executions = self.stmts.values().filter(running).flat_map(|s| &s.executions);
         let found: BTreeSet<Id> = executions.filter_map(silent).collect();
@@ -643,6 +674,10 @@
     fn may_try(&self, now: Duration, effect: Effect) -> bool {
         self.aside.is_none_or(|(at, _)| now >= at && effect != Effect::NonIdempotent)
     }
+    /// Nothing speaks against it: neither faults nor a pace that shows pressure.
+    fn answers_well(&self) -> bool {
+        self.aside.is_none() && self.faults < FAULTS_BACK && self.pace.0 < PRESSED_PACE
+    }
     fn judge(&mut self, now: Duration, outcome: Outcome, pace: Option<f64>) {
         let fault = match outcome {
             Outcome::Completed => 0.0,
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,9 +25,13 @@
     pub(crate) zone: Id,
     pub(crate) cell: u64,
     pub(crate) sent: Duration,
+    /// When it was sent, later by what this gateway has stood still for since.
+    pub(crate) quiet_since: Duration,
     pub(crate) weight: f64,
     pub(crate) usual: f64,
     pub(crate) fate: Fate,
+    /// Its connection was refused or never established.
+    pub(crate) refused: bool,
 }
 
 pub(crate) struct Stmt {
@@ -44,6 +48,11 @@
     pub(crate) fn out(&self) -> bool {
         self.executions.iter().any(|x| x.fate == Fate::Out)
     }
+
+    /// Nothing of it has reached any engine.
+    pub(crate) fn cost_nothing(&self) -> bool {
+        self.executions.iter().all(|x| x.refused)
+    }
 }
 
 /// A mean that follows what it is shown; before that, what it was made with.
