--- a/src/choice.rs
+++ b/src/choice.rs
@@ -272,9 +272,8 @@
         let told = engine.told.map_or(usual, |(at, told)| usual + (told - usual) * fresh(at));
         (told * engine.cores + engine.since * f64::from(self.site.gateways).sqrt()).max(engine.load)
     }
-    /// What speaks against an engine that fits: least another location where crossing is priced, more a load
-    /// that holds the table group, for a reader that would stand still, most that it is set aside, for a
-    /// statement that was elsewhere before: it must not spend all its executions on trying such engines.
+    /// What speaks against an engine that fits: least another location where crossing is priced, most a load
+    /// that holds the table group, for a reader that would stand still.
     fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
         let used = (self.load(now, engine) + self.weight(stmt)) / self.capacity(engine);
         let steps = (used * STEPS).ceil().clamp(0.0, 99.0) as u32;
@@ -286,7 +285,7 @@
         });
         let abroad = self.site.crossing_priced && engine.entry.zone != self.site.zone;
         let trial = engine.aside.is_some() && !stmt.executions.is_empty();
-        u32::from(trial) * 10_000 + u32::from(held) * 1000 + steps * 2 + u32::from(abroad)
+        u32::from(trial) * 10000 + u32::from(held) * 1000 + steps * 2 + u32::from(abroad)
     }
     fn weight(&self, stmt: &Stmt) -> f64 {
         self.rows[stmt.said.workload].terms.threads * stmt.coefficient
