Texts beyond 64 KiB are kept in memory, in files, or pass once; HCL settings

Need: a text was held whole in memory, 64 KiB at most, and anything larger was refused.

A sans-I/O ledger (a table of state and event) places each body: memory up to a size and a pool, else a nameless file up to a size, a pool and a count, else passing through to one engine as it comes; above three quarters of the memory pool the largest idle bodies move to files. Spool threads beside the core write chunks with a checksum, read back and checked at each replay; each process has a locked folder, and what dead ones left is removed at a start. awc sends bodies as streams; an engine that answers early is heard at once; neither a slow client nor a disk counts against it. Expect: 100-continue is answered once there is room. Off unless bodies.largest is raised.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::{config, Gateway};
+use crate::{config, operators, Gateway};
 use clap::{Parser, Subcommand};
 use signal_hook::consts::SIGHUP;
 use slog::{Drain as _, Logger};
@@ -23,11 +23,17 @@
         /// The configuration; else the file that EDGE_CONFIG names.
         #[arg(long)]
         config: Option<PathBuf>,
+        /// The operators' own settings, in HCL; without it, all of them have their defaults.
+        #[arg(long, value_name = "FILE")]
+        settings: Option<PathBuf>,
     },
-    /// Reads and checks the configuration, and starts nothing.
+    /// Reads and checks the configuration and the operators' settings, and starts nothing. With the settings alone, checks
+    /// those.
     CheckConfig {
         #[arg(long)]
         config: Option<PathBuf>,
+        #[arg(long, value_name = "FILE")]
+        settings: Option<PathBuf>,
     },
     /// Prints the version.
     Version,
@@ -36,8 +42,13 @@
 /// Runs the program: 0 where it did what it was told, 1 where it could not, 2 for a bad command line.
 pub fn run() -> ExitCode {
     let done = match Line::parse().command {
-        Command::Serve { config } => serve(config),
-        Command::CheckConfig { config } => config::load(config).map(|start| {
+        Command::Serve { config, settings } => serve(config, settings),
+        Command::CheckConfig { config: None, settings: Some(settings) }
+            if std::env::var_os("EDGE_CONFIG").is_none() =>
+        {
+            operators::check_alone(&settings).map(|()| println!("{}: well", settings.display()))
+        }
+        Command::CheckConfig { config, settings } => config::load(config, settings.as_deref()).map(|start| {
             println!(
                 "{}: {} workloads, {} engines known",
                 start.name,
@@ -66,11 +77,11 @@
     Logger::root(drain, slog::o!())
 }
 
-fn serve(path: Option<PathBuf>) -> Result<(), String> {
+fn serve(path: Option<PathBuf>, settings: Option<PathBuf>) -> Result<(), String> {
     // Before all else: a SIGHUP that comes before the gateway serves must not end it, nor get lost.
     let hung_up = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGHUP, hung_up.clone()).map_err(|e| format!("signals: {e}"))?;
-    let start = config::load(path.clone())?;
+    let start = config::load(path.clone(), settings.as_deref())?;
     let log = logger();
     actix_rt::System::new().block_on(async {
         use tokio::signal::unix::{signal, SignalKind};
@@ -78,7 +89,7 @@
         let (mut term, mut interrupt) = (heard(SignalKind::terminate())?, heard(SignalKind::interrupt())?);
         let mut hangup = heard(SignalKind::hangup())?;
         let gateway = Gateway::start(start, log.clone()).await.map_err(|e| e.to_string())?;
-        let reload = || match config::load(path.clone()) {
+        let reload = || match config::load(path.clone(), settings.as_deref()) {
             Ok(start) => gateway.reload(start),
             Err(message) => slog::error!(log, "configuration not reloaded: {}", message),
         };
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,12 +1,13 @@
 //! The one place where the configuration is read, checked and given defaults. Each message names the key.
 
 use crate::names::{known, Known};
+use crate::operators::{self, Operators, ORDINARY};
 use bramblewharf::interface::Site;
 use bramblewharf_site::Names;
 use serde_json::Value;
 use std::env;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Where gateways hear one another.
@@ -52,6 +53,8 @@
     /// How long statements that were taken may be answered once the gateway is told to close.
     pub leave_within: Duration,
     pub at_start: AtStart,
+    /// What the operators say themselves.
+    pub operators: Operators,
 }
 
 /// What takes effect at a start only; the rest of the file does so at a reload too.
@@ -83,7 +86,7 @@
 /// room until they are closed. What is left is for engines.
 const CLIENTS: f64 = 0.45;
 /// A statement at most holds its text, its result as pages, and the answer written from them.
-const STATEMENT: usize = 64 * 1024;
+const STATEMENT: usize = ORDINARY as usize;
 const PAGE: usize = 8 * 1024;
 const RESULT: usize = 64 * 1024;
 const PAGES: usize = 32;
@@ -97,15 +100,18 @@
 /// The longest time that a gateway is given to close in.
 const LONGEST_LEAVE: Duration = Duration::from_secs(3);
 
-/// Reads the file that `path`, or else `EDGE_CONFIG`, names.
-pub fn load(path: Option<PathBuf>) -> Result<Start, String> {
+/// Reads the file that `path`, or else `EDGE_CONFIG`, names, and the operators' own, if there is one.
+pub fn load(path: Option<PathBuf>, settings: Option<&Path>) -> Result<Start, String> {
     let path = path.or_else(|| env::var_os(CONFIG).map(PathBuf::from));
     let path = path.ok_or_else(|| format!("no configuration: name a file, or set {CONFIG}"))?;
     let shown = path.display();
     let text = std::fs::read(&path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
     let value: Value = serde_json::from_slice(&text).map_err(|e| format!("{shown}: is not JSON: {e}"))?;
     let told = |name: &str| env::var(name).ok().filter(|text| !text.is_empty());
-    read(&value, told(NAME), told(LISTEN)).map_err(|e| format!("{shown}: {e}"))
+    let workloads = bramblewharf_site::read(value.get("settings").unwrap_or(&Value::Null));
+    let workloads = workloads.map_or(Vec::new(), |(_, words)| words.workloads);
+    let operators = operators::load(settings, &workloads)?;
+    read_with(&value, told(NAME), told(LISTEN), operators).map_err(|e| format!("{shown}: {e}"))
 }
 
 type Read<T> = Result<T, String>;
@@ -151,6 +157,15 @@
 
 /// `name` and `listen`: what the environment says, which goes before the file.
 pub fn read(value: &Value, name: Option<String>, listen: Option<String>) -> Read<Start> {
+    read_with(value, name, listen, Operators::default())
+}
+
+pub fn read_with(
+    value: &Value,
+    name: Option<String>,
+    listen: Option<String>,
+    operators: Operators,
+) -> Read<Start> {
     if !value.is_object() {
         return Err("is not an object".into());
     }
@@ -188,6 +203,7 @@
         bounds: bounds(
             value.get("limits").unwrap_or(&Value::Null),
             whole(allowed, "maxOpen", "settings.allowed")?,
+            operators.bodies.takes(),
         )?,
         peers: peers(value, &site)?,
         names: maybe_address(value, "names")?,
@@ -199,6 +215,7 @@
         at_start: AtStart::read(value),
         site,
         words,
+        operators,
     })
 }
 
@@ -216,9 +233,18 @@
     Ok(Some(Peers { listen, each, all: maybe_address(value, "peers_all")? }))
 }
 
-fn bounds(limits: &Value, max_open: Option<u64>) -> Read<Bounds> {
+/// `bodies`: the memory and the descriptors that texts beyond the ordinary ones take.
+fn bounds(limits: &Value, max_open: Option<u64>, bodies: (u64, usize)) -> Read<Bounds> {
     let sockets = limit(limits, "sockets", 1024.0, FEWEST_SOCKETS as f64)? as usize;
     let memory = limit(limits, "memory_mb", 192.0, LEAST_MEMORY_MB)? * 1e6;
+    let (pool, descriptors) = bodies;
+    if pool as f64 > memory / 2.0 {
+        return Err(format!("limits.memory_mb: bodies.memory.pool of {pool} bytes is more than half of it"));
+    }
+    if descriptors > sockets / 2 {
+        return Err(format!("limits.sockets: bodies.files takes {descriptors}, more than half of them"));
+    }
+    let (memory, sockets) = (memory - pool as f64, sockets - descriptors);
     let clients = (sockets as f64 * CLIENTS) as usize;
     let engines = sockets - RESERVED - clients;
     let held = (memory - BASE - (clients + engines) as f64 * CONNECTION).max(4e6);
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -3,13 +3,14 @@
 
 use crate::config::Bounds;
 use crate::link::{is_quiet, Line, Lines, Link};
-use crate::reducer::{Ending, Parcel};
+use crate::reducer::{Ending, Parcel, Text};
+use crate::upload::{Sending, Upload};
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError as DialError, ConnectInfo, Connection};
 use awc::http::{StatusCode, Uri};
-use awc::{Client, ClientRequest, Connector};
+use awc::{Client, ClientRequest, Connector, SendClientRequest};
 use bramblewharf::interface::*;
 use bramblewharf_site::Names;
 use bytes::Bytes;
@@ -37,6 +38,8 @@
 /// How often the end of an execution or a page is asked for again where what came was no such thing, or did not come.
 const TRIES: usize = 5;
 
+const NOTHING: Text = Text::Whole(Bytes::new());
+
 pub struct Engines {
     lines: Rc<Lines>,
     /// Connections that no execution uses, the longest at rest first; bounded with `lines` by `bounds.engines`, emptied of
@@ -103,6 +106,8 @@
     NotMade(bool),
     /// Our own bound or the system's kept it from being made.
     NoRoom,
+    /// The text was not sent whole, through no fault of the engine or the path to it.
+    Broken,
     /// The connection broke, stayed silent or carried what is no answer: whatever was sent may have arrived.
     Lost,
     Answered(Reply),
@@ -219,6 +224,11 @@
         loop {
             match call {
                 Call::NoRoom if !started => return Outcome::Skipped.into(),
+                // No word against the engine; what it had of the text it can't have run, but nothing proves that.
+                Call::Broken => {
+                    self.stop(job.address, &id).await;
+                    return Outcome::Cancelled.into();
+                }
                 // The engine's process is gone, and the execution with it.
                 Call::NotMade(refused) if !started || refused => {
                     return if started { Outcome::Reset } else { Outcome::Refused }.into();
@@ -274,7 +284,7 @@
     /// Gives an execution up. The engine that cannot be told ends it by itself, as no one asks for it.
     pub async fn stop(&self, address: SocketAddr, id: &str) {
         let uri = format!("http://{address}/x/{id}");
-        self.call(&mut Way::to(address), |client| client.delete(&uri), Bytes::new(), UNANSWERED).await;
+        self.call(&mut Way::to(address), |client| client.delete(&uri), &NOTHING, UNANSWERED).await;
     }
 
     async fn post(&self, way: &mut Way, job: &Job<'_>) -> Call {
@@ -294,13 +304,13 @@
             }
             request
         };
-        self.call(way, request, parcel.statement.clone(), UNANSWERED).await
+        self.call(way, request, &parcel.text, UNANSWERED).await
     }
 
     /// The news of an execution, or a further page of its result.
     async fn get(&self, way: &mut Way, id: &str, page: usize, within: Duration) -> Call {
         let uri = format!("http://{}/x/{id}/{page}", way.address);
-        self.call(way, |client| client.get(&uri), Bytes::new(), within).await
+        self.call(way, |client| client.get(&uri), &NOTHING, within).await
     }
 
     /// Asks for the end of a statement whose own answer takes long, and returns with that alone: as long as the statement may
@@ -361,7 +371,7 @@
         &self,
         way: &mut Way,
         request: impl Fn(&Client) -> ClientRequest,
-        body: Bytes,
+        text: &Text,
         within: Duration,
     ) -> Call {
         for _ in 0..2 {
@@ -370,23 +380,42 @@
                 Err(call) => return call,
             };
             line.ask();
-            let answered = async {
-                let sent = request(&way.client).no_decompress().send_body(body.clone());
-                let mut response = sent.await.ok()?;
-                let body = response.body().limit(self.bounds.page).await.ok()?;
-                Some(Reply { status: response.status(), headers: response.headers().clone(), body })
+            let request = request(&way.client).no_decompress();
+            let reply = match text {
+                Text::Whole(text) => {
+                    let sent = request.send_body(text.clone());
+                    timeout(within, self.reply(sent)).await.ok().flatten()
+                }
+                Text::Body(body) => {
+                    let Some(outgoing) = body.send() else { return Call::NoRoom };
+                    let upload = Upload::new(&outgoing, line.clone());
+                    let sent = request.send_body(Sending::new(outgoing, upload.cut()));
+                    upload.watch(within, self.reply(sent)).await
+                }
             };
-            if let Some(reply) = timeout(within, answered).await.ok().flatten() {
+            if let Some(reply) = reply {
                 return Call::Answered(reply);
             }
             way.leave();
             if line.sent() {
-                return Call::Lost;
+                return match text {
+                    Text::Body(body) if body.is_broken() || body.is_spoilt() => Call::Broken,
+                    _ => Call::Lost,
+                };
+            }
+            if let Text::Body(body) = text {
+                body.take_back();
             }
         }
         Call::NotMade(false)
     }
 
+    async fn reply(&self, sent: SendClientRequest) -> Option<Reply> {
+        let mut response = sent.await.ok()?;
+        let body = response.body().limit(self.bounds.page).await.ok()?;
+        Some(Reply { status: response.status(), headers: response.headers().clone(), body })
+    }
+
     fn read(&self, reply: &Reply) -> News {
         match reply.status {
             StatusCode::ACCEPTED => News::None(note(reply)),
@@ -439,7 +468,7 @@
             let within = if again == 0 { PAGE_WITHIN } else { UNANSWERED };
             match self.get(way, id, number, within).await {
                 Call::NotMade(true) => return Err(Unfetched::Gone),
-                Call::NotMade(false) | Call::NoRoom | Call::Lost => {}
+                Call::NotMade(false) | Call::NoRoom | Call::Lost | Call::Broken => {}
                 Call::Answered(reply) if reply.status != StatusCode::OK => return Err(Unfetched::Gone),
                 Call::Answered(reply) => {
                     if reply.number("Page-No") == Some(number) && is_whole(&reply.body, columns) {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,8 +2,9 @@
 //! answers, and decides nothing.
 
 use crate::config::Bounds;
+use crate::intake::{self, Came};
 use crate::link::{Line, Lines, Link};
-use crate::reducer::{Answer, Input, Parcel, Taken};
+use crate::reducer::{Answer, Input, Parcel, Taken, Text};
 use crate::runtime::Core;
 use crate::sessions::Sessions;
 use crate::tables;
@@ -17,8 +18,7 @@
 use actix_rt::time::{sleep, timeout};
 use actix_service::{fn_service, IntoServiceFactory as _, Service as _, ServiceFactory as _};
 use bramblewharf::interface::{Id, NewStatement};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt as _;
+use bytes::Bytes;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
@@ -26,7 +26,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::timeout_at;
 
 /// Clients close idle connections after 4 s; one that does not is closed after this.
 const IDLE: Duration = Duration::from_secs(5);
@@ -39,7 +38,7 @@
 const UNREAD: Duration = Duration::from_millis(600);
 const BEHIND: Duration = Duration::from_millis(50);
 /// What a client may send ahead while it waits, and the head of a call.
-const AHEAD: usize = 16 * 1024;
+pub const AHEAD: usize = 16 * 1024;
 /// How long until room is made again at the bound of connections; how long one must have asked nothing to make it, and how
 /// long one that has asked must rest: longer than usual clients pause, or a flood of silent ones costs theirs first.
 const AT_BOUND: Duration = Duration::from_millis(10);
@@ -54,7 +53,7 @@
 const LONGEST_WORK_MS: f64 = 1e8;
 const MOST_MEM_MB: f64 = 1e7;
 const HEALTH: &str = "/status/live";
-const STATEMENTS: &str = "/svc/";
+pub const STATEMENTS: &str = "/svc/";
 /// Where a client comes back for the answer of a statement that takes longer than the first time; it is then held for
 /// so long as the second, if there is no answer yet.
 const NEXT: &str = "next/";
@@ -85,6 +84,7 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener, core: Rc<Core>) -> io::Result<Infallible> {
         let served = core.clone();
         let this = self.clone();
+        let asked = core.clone();
         let service = HttpService::<Link, _, _>::build()
             .keep_alive(IDLE)
             .client_request_timeout(HEAD_WITHIN)
@@ -93,6 +93,13 @@
             .on_connect_ext(|link: &Link, ext: &mut actix_http::Extensions| {
                 ext.insert(link.0.clone());
             })
+            .expect(fn_service(move |request: Request| {
+                let room = intake::has_room(&asked, &request);
+                std::future::ready(match room {
+                    Ok(()) => Ok(request),
+                    Err(refused) => Err(refused),
+                })
+            }))
             .finish(
                 fn_service(move |request: Request| {
                     let (front, core) = (this.clone(), served.clone());
@@ -180,7 +187,7 @@
                 match self.sessions.get(path.strip_prefix(NEXT).unwrap_or_default()) {
                     Some(session) => {
                         let answer = session.wait(NEXT_WITHIN, ended(line.as_deref())).await;
-                        next(&session.path, answer)
+                        tell_unkept(next(&session.path, answer), session.unkept.as_ref())
                     }
                     None => refusal(StatusCode::NOT_FOUND, "no such result"),
                 }
@@ -206,7 +213,7 @@
 }
 
 /// Whoever sends what is refused has lost count of the connection, or never had it: it carries no further call.
-fn close_behind(mut response: Response<BoxBody>, line: Option<&Line>) -> Response<BoxBody> {
+pub fn close_behind(mut response: Response<BoxBody>, line: Option<&Line>) -> Response<BoxBody> {
     response.head_mut().set_connection_type(ConnectionType::Close);
     line.into_iter().for_each(Line::condemn);
     response
@@ -254,19 +261,45 @@
     text_by: Instant,
     line: Option<Rc<Line>>,
 ) -> Result<Response<BoxBody>, Refused> {
-    let mut asked = read_head(core, workload, headers)?;
-    let text = read_text(payload, headers, core.bounds.statement);
-    let late = (StatusCode::REQUEST_TIMEOUT, "the statement came too slowly");
-    let text = timeout_at(text_by.into(), text).await.map_err(|_| late)??;
-    if let Some(line) = &line {
-        line.has_come(AHEAD);
+    let asked = read_head(core, workload, headers)?;
+    let came = intake::take(core, payload, headers, asked.0.workload, text_by, line.as_deref());
+    let (text, mut rest) = match came.await? {
+        Came::Whole(text) => (Text::Whole(text), None),
+        Came::Kept(body) => (Text::Body(body), None),
+        Came::Passing(body, rest) => (Text::Body(body), Some(rest)),
+        // Nothing was sent: harmless to repeat, and what still comes of it is not read.
+        Came::NoRoom => {
+            let response = next("", Some(Answer::Rejected(core.stay_away)));
+            return Ok(close_behind(response, line.as_deref()));
+        }
+    };
+    let (mut said, mut parcel) = asked;
+    let mut unkept = None;
+    match &text {
+        Text::Whole(text) => said.table_group = tables::group(text),
+        Text::Body(body) => {
+            said.kept = rest.is_none();
+            said.table_group = tables::group_of_part(&body.beginning());
+            unkept = Some(body.unkept());
+        }
     }
-    asked.0.table_group = tables::group(&text);
-    asked.1.statement = text;
-    let id = asked.0.id.clone();
+    parcel.text = text;
+    let id = said.id.clone();
     let (caller, mut answer) = core.expect();
     let mut waiting = Waiting { core: core.clone(), id: Some(id.clone()), caller };
-    core.input(Input::Statement(Taken { caller, said: asked.0, parcel: asked.1 }));
+    core.input(Input::Statement(Taken { caller, said, parcel }));
+    if let Some(rest) = &mut rest {
+        // What comes goes on to the engine. An answer before the end of it ends the connection, on which the rest still is.
+        tokio::select! {
+            biased;
+            answered = &mut answer => {
+                waiting.id = None;
+                let response = next("", Some(answered.unwrap_or(Answer::Aborted)));
+                return Ok(close_behind(tell_unkept(response, unkept.as_ref()), line.as_deref()));
+            }
+            came = rest.pass_on(core, line.as_deref()) => came?,
+        }
+    }
     let left = async {
         ended(line.as_deref()).await;
         // The client has left, or sends no more: with either, no answer is awaited for long.
@@ -280,14 +313,24 @@
         () = sleep(FIRST_WITHIN), if sessions.have_room() => None,
     };
     waiting.id = None;
-    Ok(match answered {
-        None => next(&sessions.open(core, id, answer), None),
+    let response = match answered {
+        None => next(&sessions.open(core, id, answer, unkept.clone()), None),
         answered => next("", answered),
-    })
+    };
+    Ok(tell_unkept(response, unkept.as_ref()))
+}
+
+/// A final answer without a result says that its text was not kept, so that nobody wonders why it was tried but once.
+fn tell_unkept(mut response: Response<BoxBody>, unkept: Option<&Rc<Cell<bool>>>) -> Response<BoxBody> {
+    if unkept.is_some_and(|unkept| unkept.get()) && !response.status().is_success() {
+        let name = header::HeaderName::from_static("x-body");
+        response.headers_mut().insert(name, HeaderValue::from_static("not-kept"));
+    }
+    response
 }
 
 /// The answer, or the path to come back to.
-fn next(path: &str, answer: Option<Answer>) -> Response<BoxBody> {
+pub fn next(path: &str, answer: Option<Answer>) -> Response<BoxBody> {
     match answer {
         None => json(
             StatusCode::OK,
@@ -309,7 +352,7 @@
     }
 }
 
-type Refused = (StatusCode, &'static str);
+pub type Refused = (StatusCode, &'static str);
 
 /// The fields that the decisions need; all else stays as it came. What a client of this protocol does not send is refused:
 /// engines would have to make of it what they can.
@@ -377,12 +420,13 @@
         est_work: est_work.map(|ms| Duration::from_secs_f64(ms / 1e3)),
         est_mem_mb,
         table_group: None,
+        kept: true,
     };
     let parcel = Parcel {
         id: Bytes::copy_from_slice(id.as_bytes()),
         workload: Bytes::copy_from_slice(workload.as_bytes()),
         key: key.map(|key| Bytes::copy_from_slice(key.as_bytes())),
-        statement: Bytes::new(),
+        text: Text::Whole(Bytes::new()),
     };
     Ok((said, parcel))
 }
@@ -395,34 +439,6 @@
     (number > 0.0 && number <= most).then_some(number)
 }
 
-async fn read_text(mut payload: Payload, headers: &HeaderMap, most: usize) -> Result<Bytes, Refused> {
-    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the statement is too large");
-    let told = headers.get(header::CONTENT_LENGTH).and_then(|n| n.to_str().ok()?.parse::<usize>().ok());
-    if told.is_some_and(|length| length > most) {
-        return Err(too_large);
-    }
-    let mut parts: Vec<Bytes> = Vec::new();
-    let mut length = 0;
-    while let Some(part) = payload.next().await {
-        let part = part.map_err(|_| (StatusCode::BAD_REQUEST, "the statement did not come whole"))?;
-        length += part.len();
-        if length > most {
-            return Err(too_large);
-        }
-        parts.push(part);
-    }
-    let text = if parts.len() <= 1 {
-        parts.pop().unwrap_or_default()
-    } else {
-        let mut whole = BytesMut::with_capacity(length);
-        parts.iter().for_each(|part| whole.extend_from_slice(part));
-        whole.freeze()
-    };
-    let is_text =
-        std::str::from_utf8(&text).is_ok_and(|text| !text.trim().is_empty() && !text.contains('\0'));
-    is_text.then_some(text).ok_or((StatusCode::BAD_REQUEST, "the statement is no text"))
-}
-
 /// All rows, in order and unchanged: each text as JSON has it.
 fn completed(pages: &[Bytes]) -> Response<BoxBody> {
     let size: usize = pages.iter().map(Bytes::len).sum();
@@ -460,6 +476,6 @@
     json(status, Bytes::from_static(text.as_bytes()))
 }
 
-fn refusal(status: StatusCode, why: &str) -> Response<BoxBody> {
+pub fn refusal(status: StatusCode, why: &str) -> Response<BoxBody> {
     json(status, serde_json::json!({ "abort": why }).to_string().into())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,13 +6,16 @@
 mod engines;
 mod exchange;
 mod front;
+mod intake;
 pub mod invariants;
 mod link;
 pub mod names;
+pub mod operators;
 mod peers;
 pub mod reducer;
 mod runtime;
 mod sessions;
 pub mod tables;
+mod upload;
 
 pub use runtime::Gateway;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -35,6 +35,8 @@
     exchange: Option<RefCell<Exchange>>,
     /// Bytes of the call that is open, or was last, were written.
     sent: Cell<bool>,
+    /// An engine has answered before a call had come whole: nothing more of that is written.
+    early: Cell<bool>,
     ended: Cell<bool>,
     end: Notify,
 }
@@ -81,6 +83,11 @@
         begun
     }
 
+    /// So much more of the call that is open may be read.
+    pub fn allow(&self, allowed: usize) {
+        self.allowed.set(allowed);
+    }
+
     /// The call is here whole: what comes now belongs to the next, and no more than so much of it is read yet.
     pub fn has_come(&self, allowed: usize) {
         self.allowed.set(allowed);
@@ -146,6 +153,16 @@
         self.sent.get()
     }
 
+    /// Whether the engine's answer is here though the call has not come whole; from then on nothing more of that is written.
+    pub fn answers_early(&self) -> bool {
+        let early = self.stream.borrow().as_ref().is_some_and(has_answer);
+        if early {
+            self.early.set(true);
+            self.exchange.iter().for_each(|exchange| exchange.borrow_mut().spoil());
+        }
+        early
+    }
+
     /// Is here still, and showed nothing irregular: it may carry another call.
     pub fn is_free(&self) -> bool {
         self.stream.borrow().is_some() && self.exchange.as_ref().is_some_and(|x| x.borrow().is_free())
@@ -242,6 +259,13 @@
     waits.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// An answer has begun to come, and not only a head on the way to one.
+fn has_answer(stream: &TcpStream) -> bool {
+    let mut bytes = [0; 10];
+    let came = rustix::net::recv(stream, &mut bytes[..], rustix::net::RecvFlags::PEEK);
+    came.is_ok_and(|(_, came)| came == bytes.len()) && bytes.starts_with(b"HTTP/1.1 ") && bytes[9] != b'1'
+}
+
 /// Of what an engine sent, held at most before it is handed on.
 const HELD: usize = 16 * 1024;
 
@@ -298,6 +322,7 @@
             allowed: Cell::new(0),
             exchange: self.answer.map(|most| RefCell::new(Exchange::new(most))),
             sent: Cell::new(false),
+            early: Cell::new(false),
             ended: Cell::new(false),
             end: Notify::new(),
         });
@@ -387,8 +412,21 @@
         let Some(stream) = stream.as_mut() else {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         };
+        if line.early.get() {
+            return Poll::Ready(Ok(buf.len()));
+        }
         line.check_free(stream)?;
-        let written = Pin::new(stream).poll_write(cx, buf);
+        let mut written = Pin::new(&mut *stream).poll_write(cx, buf);
+        // An engine that answers and closes resets what still comes: its answer waits here all the same.
+        if matches!(written, Poll::Ready(Err(_)))
+            && line.exchange.is_some()
+            && line.sent.get()
+            && has_answer(stream)
+        {
+            line.early.set(true);
+            line.exchange.iter().for_each(|exchange| exchange.borrow_mut().spoil());
+            written = Poll::Ready(Ok(buf.len()));
+        }
         line.sent.set(line.sent.get() || matches!(written, Poll::Ready(Ok(1..))));
         written
     }
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -4,6 +4,7 @@
 use crate::invariants::{Broken, Invariant};
 use bramblewharf::choice::Chooser;
 use bramblewharf::interface::*;
+use bramblewharf_bodies::Body;
 use bramblewharf_site::message;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -27,7 +28,14 @@
     pub id: Bytes,
     pub workload: Bytes,
     pub key: Option<Bytes>,
-    pub statement: Bytes,
+    pub text: Text,
+}
+
+/// A statement's text: as it came, or, beyond the ordinary size, where it is kept.
+#[derive(Clone, Debug)]
+pub enum Text {
+    Whole(Bytes),
+    Body(Rc<Body>),
 }
 
 #[derive(Debug)]
@@ -43,6 +51,8 @@
     Statement(Taken),
     /// The client has left, or its connection has.
     Left(Id),
+    /// Its text can't be sent again any more.
+    Unkept(Id),
     Noted {
         id: Id,
         execution: usize,
@@ -237,6 +247,7 @@
         match input {
             Input::Statement(taken) => self.take(now, taken),
             Input::Left(id) => self.left(&id),
+            Input::Unkept(id) => self.news.push_back(Event::Unkept(id)),
             Input::Noted { id, execution, note } => {
                 if let Some(engine) = self.out(&id, execution).map(|x| x.engine.clone()) {
                     self.news.push_back(Event::Noted { id, execution, engine, note });
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -4,12 +4,15 @@
 use crate::engines::{Engines, Job};
 use crate::front::Front;
 use crate::names::{dial, Asker, Known, Word};
+use crate::operators::Bodies;
 use crate::peers::Peers;
-use crate::reducer::{Answer, Effect, Input, Reducer};
+use crate::reducer::{Answer, Effect, Input, Reducer, Text};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{sleep, sleep_until, timeout as timeout_after, Instant as TimerInstant};
 use bramblewharf::interface::{Effect as Repeat, Id, ListKind, WorkloadTerms};
+use bramblewharf_bodies::spool::{Folder, Threads};
+use bramblewharf_bodies::Keeper;
 use bramblewharf_site::Names;
 use slog::Logger;
 use std::cell::{Cell, RefCell};
@@ -18,6 +21,7 @@
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, Notify};
@@ -72,6 +76,13 @@
     /// Of each workload: how long clients wait at most, and whether their statements carry a key.
     pub longest: Vec<Option<Duration>>,
     pub keyed: Vec<bool>,
+    /// Of each workload, whether a text beyond the ordinary size is kept or else not taken.
+    pub strict: Vec<bool>,
+    /// Beyond the ordinary time a text may come as slowly as so many bytes a second.
+    pub slowest: u64,
+    /// How long whom we have no room for should stay away, where the settings allow that to be told.
+    pub stay_away: Option<Duration>,
+    pub bodies: Rc<Keeper>,
     pub log: Logger,
     engines: Engines,
     peers: Option<Peers>,
@@ -157,6 +168,9 @@
                     let noted = |note| core.input(Input::Noted { id: id.clone(), execution, note });
                     let ending = core.engines.run(job, noted).await;
                     core.running.borrow_mut().remove(&(id.clone(), execution));
+                    if matches!(&parcel.text, Text::Body(body) if !body.is_kept()) {
+                        core.input(Input::Unkept(id.clone()));
+                    }
                     core.input(Input::Ended { id, execution, ending });
                 });
                 self.running.borrow_mut().insert(key, task);
@@ -238,6 +252,8 @@
             "open" => reducer.open(), "ill" => ?ill, "bad_calls" => ?self.bad_calls.borrow(),
             "asked_again" => self.engines.asked_again(), "names_passed_over" => self.names_passed_over.get(),
             "peers_passed_over" => self.peers.as_ref().map_or(0, Peers::passed_over),
+            "bodies" => ?self.bodies.counts(), "written" => ?self.bodies.written(),
+            "bodies_fault" => self.bodies.take_fault(),
             "connections" => self.engines.connections(), "faults" => self.faults.get(),
             "broken" => ?reducer.broken.counts().filter(|(_, n)| *n > 0).collect::<Vec<_>>());
     }
@@ -252,6 +268,8 @@
     address: SocketAddr,
     leave_within: Duration,
     at_start: AtStart,
+    bodies: Bodies,
+    folder: Option<Arc<Folder>>,
     /// The name service and other gateways, as last read.
     in_force: RefCell<(Option<SocketAddr>, Option<config::Peers>)>,
 }
@@ -280,6 +298,9 @@
             Engines::new(start.bounds.clone(), start.words.clone(), start.dial_timeout, start.engine_idle);
         let deduplicated = |w: &WorkloadTerms| matches!(w.effect, Repeat::Deduplicated(_));
         let keyed = start.site.workloads.iter().map(deduplicated).collect();
+        let (bodies, folder) = keeper(&start.operators.bodies, &log)?;
+        let strict = start.words.workloads.iter().map(|w| start.operators.bodies.is_strict(w)).collect();
+        let (slowest, stay_away) = (start.operators.bodies.slowest.as_u64(), start.site.max_retry_after);
         let (reducer, first) = Reducer::start(start.site, start.seed, start.bounds.stmts, clock.now());
         let core = Rc::new(Core {
             reducer: RefCell::new(reducer),
@@ -288,6 +309,10 @@
             names: start.words,
             longest: start.longest,
             keyed,
+            strict,
+            slowest,
+            stay_away,
+            bodies,
             log,
             engines,
             peers,
@@ -330,7 +355,8 @@
             }
         }));
         let (leave_within, at_start) = (start.leave_within, start.at_start);
-        Ok(Gateway { core, front, tasks, address, leave_within, at_start, in_force })
+        let bodies = start.operators.bodies;
+        Ok(Gateway { core, front, tasks, address, leave_within, at_start, bodies, folder, in_force })
     }
 
     /// Takes over what can change while it serves, with no statement touched: the name service, other gateways'
@@ -351,6 +377,12 @@
         if peers.is_some() != start.peers.is_some() && !waits.contains(&"peer_listen") {
             waits.push("peers");
         }
+        // How much is kept takes effect at once, where and by how many threads with a restart.
+        let bodies = &start.operators.bodies;
+        self.core.bodies.set_bounds(bodies.bounds());
+        if self.bodies != *bodies && !self.bodies.is_alike(bodies) {
+            waits.push("bodies");
+        }
         if let (Some(ours), Some(peers)) = (&self.core.peers, &start.peers) {
             ours.turn_to(peers.clone());
         }
@@ -401,9 +433,24 @@
         self.core.stopping.borrow().values().for_each(JoinHandle::abort);
         self.front.lines.close_all();
         self.core.engines.close_all();
+        self.folder.iter().for_each(|folder| folder.remove());
     }
 }
 
+/// The texts beyond the ordinary ones: the folder for them, what others left there, and the threads.
+fn keeper(bodies: &Bodies, log: &Logger) -> io::Result<(Rc<Keeper>, Option<Arc<Folder>>)> {
+    let files = bodies.files.as_ref().filter(|_| bodies.is_on());
+    let threads = files.map(|files| -> io::Result<_> {
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("bodies.files.dir: {}: {e}", files.dir.display()));
+        let folder = Folder::open(&files.dir).map_err(named)?;
+        slog::info!(log, "files for bodies"; "folder" => %folder.path().display(), "removed" => folder.removed);
+        let folder = Arc::new(folder);
+        Ok((folder.clone(), Threads::start(folder, files.threads, files.zstd)?))
+    });
+    let (folder, threads) = threads.transpose()?.unzip();
+    Ok((Keeper::new(bodies.bounds(), threads), folder))
+}
+
 /// An address that a gateway before us had is free at once; a burst of new connections is kept waiting.
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
--- a/crates/gateway/src/sessions.rs
+++ b/crates/gateway/src/sessions.rs
@@ -28,6 +28,8 @@
     seen: Cell<Instant>,
     /// The answer was handed to a call.
     handed: Cell<bool>,
+    /// The text was not kept, as that stands.
+    pub unkept: Option<Rc<Cell<bool>>>,
 }
 
 /// Bounded by `most`; emptied of a session once its client has been absent.
@@ -69,7 +71,13 @@
     }
 
     /// From now on the answer is to be had by coming back to the path that is returned.
-    pub fn open(self: &Rc<Self>, core: &Rc<Core>, id: Id, mut answer: oneshot::Receiver<Answer>) -> String {
+    pub fn open(
+        self: &Rc<Self>,
+        core: &Rc<Core>,
+        id: Id,
+        mut answer: oneshot::Receiver<Answer>,
+        unkept: Option<Rc<Cell<bool>>>,
+    ) -> String {
         self.given.set(self.given.get() + 1);
         let path = format!("{:016x}", self.keys.hash_one(self.given.get()));
         let session = Rc::new(Session {
@@ -80,6 +88,7 @@
             waiting: Cell::new(0),
             seen: Cell::new(Instant::now()),
             handed: Cell::new(false),
+            unkept,
         });
         self.by_path.borrow_mut().insert(path.clone(), session.clone());
         let (sessions, core) = (self.clone(), core.clone());
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -20,6 +20,10 @@
 
 /// None where the text names no group; what comes behind a place that cannot be read is passed over.
 pub fn group(statement: &[u8]) -> Option<u64> {
+    find(statement, true)
+}
+
+fn find(statement: &[u8], whole: bool) -> Option<u64> {
     let text = String::from_utf8_lossy(statement);
     let mut tokens = Vec::new();
     // An error leaves the tokens before it.
@@ -52,7 +56,14 @@
         at += (2 * name.len()).max(2) - 1;
     }
     // Without any table, such as in commands that are not known here, another name will do.
-    other.filter(|_| !tables)
+    other.filter(|_| !tables && whole)
+}
+
+/// Of the first part of a text: none rather than a wrong one, so what the cut may have shortened does not count, and no name
+/// that only might be a table's.
+pub fn group_of_part(part: &[u8]) -> Option<u64> {
+    let whole = part.iter().rposition(|byte| byte.is_ascii_whitespace())?;
+    find(&part[..whole], false)
 }
 
 /// The words of a dotted name that begins there.
--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -56,12 +56,13 @@
         est_work: None,
         est_mem_mb: None,
         table_group: None,
+        kept: true,
     };
     let parcel = Parcel {
         id: Bytes::copy_from_slice(id.as_bytes()),
         workload: Bytes::from_static(b"w"),
         key: None,
-        statement: Bytes::from_static(b"SELECT 1"),
+        text: Text::Whole(Bytes::from_static(b"SELECT 1")),
     };
     Input::Statement(Taken { caller, said, parcel })
 }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -208,6 +208,7 @@
         est_work: line.maybe(7, |l| l.micros(7, "guessUs"))?.filter(|w| valid && !w.is_zero()),
         est_mem_mb: line.maybe(8, |l| l.number(8, "estMemoryMb"))?.filter(|m| *m > 0.0),
         table_group: line.maybe(9, |l| l.whole(9, "tables"))?,
+        kept: true,
     })
 }
 
--- a/examples/toy_engine.rs
+++ b/examples/toy_engine.rs
@@ -139,7 +139,9 @@
 }
 
 fn pages(text: &[u8]) -> Vec<String> {
-    let text = String::from_utf8_lossy(text).replace(['\t', '\n'], " ");
+    // Of a text of megabytes the beginning will do.
+    let text: String = String::from_utf8_lossy(&text[..text.len().min(200)]).chars().take(50).collect();
+    let text = text.replace(['\t', '\n'], " ");
     let rows: Vec<String> = (0..ROWS).map(|row| format!("{row}\t{}\t{text}\n", row * row)).collect();
     rows.chunks(PAGE_ROWS).map(|page| page.concat()).collect()
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -84,10 +84,10 @@
     (State::Streaming, Input::Finished,   State::Over,      Step::Close),
     (State::Streaming, Input::Unfinished, State::Over,      Step::GiveUp),
 ];
-/// The seven rules, as reasons against a send.
+/// The seven rules, as reasons against a send, and that a text which is not kept goes out once.
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Rule { OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget }
+pub enum Rule { OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget, Text }
 pub struct Chooser {
     site: Site,
     rng: WyRand,
@@ -156,6 +156,7 @@
             Event::Engines(kind, entries) => self.list(now, kind, entries),
             Event::Statement(said) => self.take(now, said),
             Event::ClientGone(id) => self.drive(now, &id, Input::Finished),
+            Event::Unkept(id) => self.stmts.get_mut(&id).into_iter().for_each(|s| s.said.kept = false),
             Event::Ended(ended) => self.ended(now, ended),
             Event::Answering { id, engine, .. } => {
                 self.hear(now, &engine);
@@ -323,6 +324,7 @@
         #[rustfmt::skip]
         let broken = [
             (Rule::OneAnswer, stmt.state == State::Over || late || tries >= self.site.execution_limit),
+            (Rule::Text, stmt.spent()),
             (Rule::NoDoubleEffect, !self.repeat_is_harmless(now, stmt, row, to)),
             (Rule::Drain, to.entry.state != EngineState::In || !self.list_is_known(now, to)),
             (Rule::Order, !self.has_turn(now, stmt)),
@@ -387,7 +389,8 @@
         let row = &self.rows[stmt.said.workload];
         let usual = row.elapsed.0 * stmt.coefficient;
         let left = stmt.until - now - self.site.tick;
-        let again = row.terms.effect != Effect::NonIdempotent && stmt.executions.len() + 1 < row.executions;
+        let more = stmt.said.kept && stmt.executions.len() + 1 < row.executions;
+        let again = more && row.terms.effect != Effect::NonIdempotent;
         let patience = Duration::from_secs_f64(usual * PATIENCE_TIMES).max(SHORTEST_WAIT);
         let timeout = if again && self.budget_has_room(now, false) { left.min(patience) } else { left };
         let (mem_mb, priority) = (self.grant(stmt, &engine), self.priority(stmt));
@@ -649,7 +652,7 @@
         for stmt in self.stmts.values().filter(running) {
             let row = &self.rows[stmt.said.workload];
             let more = called && stmt.executions.len() < row.executions;
-            let again = more && row.terms.effect == Effect::Idempotent;
+            let again = more && row.terms.effect == Effect::Idempotent && stmt.said.kept;
             let out = stmt.executions.iter().enumerate().filter(|(_, x)| x.fate == Fate::Out);
             for (execution, _) in out.filter(|(_, x)| again && found.contains(&x.engine)) {
                 self.actions.push(Action::Cancel { id: stmt.said.id.clone(), execution });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -158,6 +158,8 @@
     pub est_work: Option<Duration>,
     pub est_mem_mb: Option<f64>,
     pub table_group: Option<u64>,
+    /// Its text can be sent again from its start.
+    pub kept: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -187,6 +189,8 @@
     Engines(ListKind, Vec<EngineEntry>),
     Statement(NewStatement),
     ClientGone(Id),
+    /// The statement's text was kept, and can't be sent again any more.
+    Unkept(Id),
     Ended(Ended),
     Answering {
         id: Id,
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,11 @@
         self.executions.iter().any(|x| x.fate == Fate::Out)
     }
 
+    /// A byte of its text may have gone out, and it is not kept.
+    pub(crate) fn spent(&self) -> bool {
+        !self.said.kept && !self.cost_nothing()
+    }
+
     /// Nothing of it has reached any engine.
     pub(crate) fn cost_nothing(&self) -> bool {
         self.executions.iter().all(|x| x.refused)
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -454,3 +454,37 @@
     assert!(!called(&hand.stall(1550)));
     assert!(called(&hand.beat(50)), "an engine that stays silent is found all the same");
 }
+
+#[test]
+fn a_text_that_is_not_kept_goes_out_once() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent), workload(NonIdempotent)]), 4);
+    let send = |hand: &mut Hand, workload| {
+        let (id, actions) = hand.statement(workload, |s| s.kept = false);
+        let engine = engine_of(&actions).unwrap();
+        let patient =
+            actions.iter().any(|a| matches!(a, Action::Send { timeout, .. } if *timeout > ms(3900)));
+        assert!(patient, "it is not given up early, as it can't go elsewhere");
+        (id, engine)
+    };
+    use Outcome::*;
+    for (at, again, aborts) in [(Refused, true, [false, false]), (Full, false, [false, false])]
+        .into_iter()
+        .chain([Error, Reset, TimedOut, Cancelled].map(|outcome| (outcome, false, [false, true])))
+    {
+        for (w, aborts) in aborts.into_iter().enumerate() {
+            let (id, engine) = send(&mut hand, w);
+            let then = hand.end(&id, 0, &engine, at);
+            assert_eq!(engine_of(&then).is_some(), again, "{at:?}");
+            let aborted = then.iter().any(|a| matches!(a, Action::Abort { .. }));
+            assert!(aborted == aborts && rejected(&then) != (again || aborted), "{at:?} {w}: {then:?}");
+        }
+    }
+    // Kept at first, and its file is lost while it runs: what proves that nothing ran no longer helps it.
+    let (id, engine) = hand.sent(1);
+    hand.event(Event::Unkept(id.clone()));
+    assert!(rejected(&hand.end(&id, 0, &engine.unwrap(), Full)));
+    // A silent engine's statement is not called back to go elsewhere.
+    let (id, _) = send(&mut hand, 0);
+    let called = Action::Cancel { id, execution: 0 };
+    assert!((0..60).all(|_| !hand.beat(50).contains(&called)));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -85,6 +85,7 @@
         let mut new = NewStatement {
             id: format!("s{}", self.next).into(), workload, customer: None, key: None,
             time_left: ms(4000), est_work: None, est_mem_mb: None, table_group: None,
+            kept: true,
         };
         change(&mut new);
         (new.id.clone(), self.event(Event::Statement(new)))
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -21,7 +21,7 @@
 struct Sent { engine: usize, at: Duration, ends: Duration, outcome: Option<(Outcome, Duration)> }
 
 #[rustfmt::skip]
-struct Stmt { id: Id, workload: usize, key: Option<Id>, taken: Duration, until: Duration, over: bool, sent: Vec<Sent> }
+struct Stmt { id: Id, workload: usize, key: Option<Id>, taken: Duration, until: Duration, over: bool, kept: bool, sent: Vec<Sent> }
 
 #[rustfmt::skip]
 struct Model { site: Site, engines: Vec<EngineEntry>, stmts: Vec<Stmt> }
@@ -50,6 +50,10 @@
                 near && now < x.at + terms.dedup_span
             }
         };
+        let touched = |x: &Sent| !matches!(x.outcome, Some((Outcome::Refused, _)));
+        if !stmt.kept && stmt.sent.iter().any(touched) {
+            broken.push(Rule::Text);
+        }
         let out = stmt.sent.iter().any(|x| x.outcome.is_none());
         if out || !stmt.sent.iter().filter(ran).all(allowed) {
             broken.push(Rule::NoDoubleEffect);
@@ -208,11 +212,21 @@
                     (format!("s{}", self.model.stmts.len() + 1).into(), ms(200 + 10 * b as u64));
                 let taken = self.hand.now;
                 let until = taken + time_left;
-                let stmt =
-                    Stmt { id, workload, key: key.clone(), taken, until, over: false, sent: Vec::new() };
+                let kept = a % 3 > 0;
+                let stmt = Stmt {
+                    id,
+                    workload,
+                    key: key.clone(),
+                    taken,
+                    until,
+                    over: false,
+                    kept,
+                    sent: Vec::new(),
+                };
                 self.model.stmts.push(stmt);
                 let (_, actions) = self.hand.statement(workload, |s| {
                     (s.key, s.time_left, s.table_group) = (key.clone(), time_left, Some(u64::from(b % 2)));
+                    s.kept = kept;
                 });
                 self.apply(actions);
             }
@@ -232,6 +246,15 @@
                     self.apply(actions);
                 }
             }
+            13 => {
+                let open: Vec<_> =
+                    (0..self.model.stmts.len()).filter(|s| !self.model.stmts[*s].over).collect();
+                if let Some(&s) = open.get(a as usize % open.len().max(1)) {
+                    self.model.stmts[s].kept = false;
+                    let actions = self.hand.event(Event::Unkept(self.model.stmts[s].id.clone()));
+                    self.apply(actions);
+                }
+            }
             12 => {
                 let entry = &mut self.model.engines[a as usize % 5];
                 entry.state = [EngineState::In, EngineState::In, EngineState::Draining][b as usize % 3];
