Stand-ins in a crate; every tier tested cell by cell, and disks that fail

Need: what a tier means for further executions must hold class by class, whatever fails.

Change: crates/standins takes the engines of the gateway's tests and adds ones that read a part, a byte at a time or nothing, a disk that is full, broken, wrong or stuck at a byte that a test names, and a checker of engines' records. Tests: the ledger beside a plain model by proptest (it found a body falling out of a full file pool into a memory pool without room: mended); bodies on failing disks, under RLIMIT_FSIZE in a child process (its signal now ends nothing), residue and neighbours; on loopback the table {class} x {tier} x {what goes wrong}, 16 MB past a reset engine, 200 loads of 1 MB against 32 MB, endless and stuck texts, early and slow engines, a drain in mid-body, a stuck disk beside lookups, a reload that shrinks, an end.

--- a/crates/bodies/src/keeper.rs
+++ b/crates/bodies/src/keeper.rs
@@ -291,10 +291,7 @@
         }
         let effects = self.keeper.step(self.id, Input::Part(bytes.len() as u64));
         self.got.set(self.got.get() + bytes.len() as u64);
-        let mut beginning = self.beginning.borrow_mut();
-        let wanted = BEGINNING.saturating_sub(beginning.len()).min(bytes.len());
-        beginning.extend_from_slice(&bytes[..wanted]);
-        drop(beginning);
+        self.remember(&bytes);
         match &mut *self.store.borrow_mut() {
             Store::Memory(pieces) => pieces.push(bytes),
             Store::File(_, pending) => pending.extend_from_slice(&bytes),
@@ -309,6 +306,12 @@
         self.write(CHUNK).await
     }
 
+    fn remember(&self, bytes: &[u8]) {
+        let mut beginning = self.beginning.borrow_mut();
+        let wanted = BEGINNING.saturating_sub(beginning.len()).min(bytes.len());
+        beginning.extend_from_slice(&bytes[..wanted]);
+    }
+
     /// All of it has come.
     pub async fn end(&self) -> Result<(), Refusal> {
         self.write(1).await?;
--- a/crates/bodies/src/ledger.rs
+++ b/crates/bodies/src/ledger.rs
@@ -274,8 +274,8 @@
             }
             Input::SpoolFailed => {
                 self.counts.spool_failed += 1;
-                let strict = self.bodies.get(&id).is_some_and(|entry| entry.strict);
-                self.apply(id, if strict { Event::FitsNowhere } else { Event::SpoolFailed }, &mut effects);
+                let passes = self.bodies.get(&id).is_some_and(|entry| self.may_pass(entry));
+                self.apply(id, if passes { Event::SpoolFailed } else { Event::FitsNowhere }, &mut effects);
             }
             Input::Moved => {
                 let used = self.bodies.get(&id).is_some_and(|entry| entry.readers > 0);
@@ -344,7 +344,7 @@
         }
         entry.got += more;
         let (at, got, in_memory, in_files) = (entry.at, entry.got, entry.in_memory, entry.in_files);
-        let (strict, length) = (entry.strict, entry.length);
+        let length = entry.length;
         if got > length.unwrap_or(u64::MAX).min(self.bounds.largest) {
             self.counts.refused += 1;
             // The table has no row for what is too large whatever room there is.
@@ -358,7 +358,7 @@
         }
         // By doubling, as buffers grow, and never beyond what a tier may hold of one.
         let want = got.max(held * 2).max(STEP);
-        let passes = !strict && self.in_memory - in_memory + in_memory.max(WINDOW) <= self.bounds.memory_all;
+        let passes = self.bodies.get(&id).is_some_and(|entry| self.may_pass(entry));
         let event = match at {
             At::Memory => {
                 let want = want.min(self.bounds.memory_each).max(got);
@@ -395,7 +395,6 @@
     fn apply(&mut self, id: Id, event: Event, effects: &mut Vec<Effect>) {
         let Some(entry) = self.bodies.get_mut(&id) else { return };
         let Some(row) = TABLE.iter().find(|row| row.0 == entry.at && row.1 == event) else { return };
-        let was = entry.at;
         entry.at = row.2;
         let (got, in_memory, in_files) = (entry.got, entry.in_memory, entry.in_files);
         match row.3 {
@@ -407,8 +406,7 @@
             Step::Pass => {
                 self.counts.fell += 1;
                 // What was kept of it is held until it has gone out.
-                let memory = if was == At::Memory { in_memory.max(WINDOW) } else { WINDOW };
-                self.hold(id, memory, in_files);
+                self.hold(id, in_memory.max(WINDOW), in_files);
                 effects.push(Effect::Pass(id));
             }
             Step::Refuse => {
@@ -444,6 +442,12 @@
         (entry.in_memory, entry.in_files) = (in_memory, in_files);
     }
 
+    /// Whether it may go on without being kept: its window must have room.
+    fn may_pass(&self, entry: &Entry) -> bool {
+        let needs = WINDOW.saturating_sub(entry.in_memory);
+        !entry.strict && (needs == 0 || self.in_memory + needs <= self.bounds.memory_all)
+    }
+
     /// Whether one that holds `has` there may hold `want`.
     fn memory_fits(&self, has: u64, want: u64) -> bool {
         want <= self.bounds.memory_each && self.in_memory - has + want <= self.bounds.memory_all
--- a/crates/bodies/src/spool.rs
+++ b/crates/bodies/src/spool.rs
@@ -193,6 +193,8 @@
 impl Threads {
     /// `packs`: chunks are compressed where that makes them smaller.
     pub fn start(disk: Arc<dyn Disk>, threads: usize, packs: bool) -> io::Result<Threads> {
+        // A limit of the system's on the size of files is a full disk, and its signal ends nothing.
+        signal_hook::flag::register(signal_hook::consts::SIGXFSZ, Arc::default())?;
         let (jobs, waiting) = sync_channel(WAITING);
         let waiting = Arc::new(Mutex::new(waiting));
         let (came, written) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -11,7 +11,8 @@
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{sleep, sleep_until, timeout as timeout_after, Instant as TimerInstant};
 use bramblewharf::interface::{Effect as Repeat, Id, ListKind, WorkloadTerms};
-use bramblewharf_bodies::spool::{Folder, Threads};
+use bramblewharf_bodies::ledger::Counts as BodyCounts;
+use bramblewharf_bodies::spool::{Disk, Folder, Threads};
 use bramblewharf_bodies::Keeper;
 use bramblewharf_site::Names;
 use slog::Logger;
@@ -277,6 +278,11 @@
 impl Gateway {
     /// Binds all its addresses before anything else; where one cannot be had, nothing is left behind.
     pub async fn start(start: Start, log: Logger) -> io::Result<Gateway> {
+        Gateway::start_on(start, log, None).await
+    }
+
+    /// With files for bodies on that disk, where it is given, instead of the folder that the operators name.
+    pub async fn start_on(start: Start, log: Logger, disk: Option<Arc<dyn Disk>>) -> io::Result<Gateway> {
         let named = |what: &str, address: &dyn std::fmt::Display, e: io::Error| {
             io::Error::new(e.kind(), format!("{what}: {address}: {e}"))
         };
@@ -298,7 +304,7 @@
             Engines::new(start.bounds.clone(), start.words.clone(), start.dial_timeout, start.engine_idle);
         let deduplicated = |w: &WorkloadTerms| matches!(w.effect, Repeat::Deduplicated(_));
         let keyed = start.site.workloads.iter().map(deduplicated).collect();
-        let (bodies, folder) = keeper(&start.operators.bodies, &log)?;
+        let (bodies, folder) = keeper(&start.operators.bodies, disk, &log)?;
         let strict = start.words.workloads.iter().map(|w| start.operators.bodies.is_strict(w)).collect();
         let (slowest, stay_away) = (start.operators.bodies.slowest.as_u64(), start.site.max_retry_after);
         let (reducer, first) = Reducer::start(start.site, start.seed, start.bounds.stmts, clock.now());
@@ -393,6 +399,11 @@
         self.core.turn.notify_one();
     }
 
+    /// What is held of texts beyond the ordinary size, and what has been since the start.
+    pub fn bodies(&self) -> BodyCounts {
+        self.core.bodies.counts()
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -438,17 +449,24 @@
 }
 
 /// The texts beyond the ordinary ones: the folder for them, what others left there, and the threads.
-fn keeper(bodies: &Bodies, log: &Logger) -> io::Result<(Rc<Keeper>, Option<Arc<Folder>>)> {
+fn keeper(
+    bodies: &Bodies,
+    disk: Option<Arc<dyn Disk>>,
+    log: &Logger,
+) -> io::Result<(Rc<Keeper>, Option<Arc<Folder>>)> {
     let files = bodies.files.as_ref().filter(|_| bodies.is_on());
     let threads = files.map(|files| -> io::Result<_> {
+        if let Some(disk) = disk {
+            return Ok((None, Threads::start(disk, files.threads, files.zstd)?));
+        }
         let named = |e: io::Error| io::Error::new(e.kind(), format!("bodies.files.dir: {}: {e}", files.dir.display()));
         let folder = Folder::open(&files.dir).map_err(named)?;
         slog::info!(log, "files for bodies"; "folder" => %folder.path().display(), "removed" => folder.removed);
         let folder = Arc::new(folder);
-        Ok((folder.clone(), Threads::start(folder, files.threads, files.zstd)?))
+        Ok((Some(folder.clone()), Threads::start(folder, files.threads, files.zstd)?))
     });
     let (folder, threads) = threads.transpose()?.unzip();
-    Ok((Keeper::new(bodies.bounds(), threads), folder))
+    Ok((Keeper::new(bodies.bounds(), threads), folder.flatten()))
 }
 
 /// An address that a gateway before us had is free at once; a burst of new connections is kept waiting.
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,181 @@
+//! A gateway that serves in a thread of its own, and clients that ask it.
+#![allow(dead_code)]
+
+use bramblewharf_bodies::ledger::Counts;
+use bramblewharf_bodies::spool::Disk;
+use bramblewharf_gateway::operators::Operators;
+use bramblewharf_gateway::{config, Gateway};
+use bramblewharf_standins::{read_message, LONG};
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{mpsc, Arc};
+use std::thread::JoinHandle;
+
+pub fn configuration(engines: &[SocketAddr]) -> Value {
+    let members: Vec<Value> = engines
+        .iter()
+        .enumerate()
+        .map(|(at, address)| {
+            json!({"id": format!("e{at}"), "host_port": address.to_string(), "locality": "z", "flavor": "k",
+                "cell": 0, "phase": "up", "size": 4, "up_since_ms": 0})
+        })
+        .collect();
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"no": 1, "items": [{"no": 1, "roster": {"revision": 1, "complete": true, "members": members}}]},
+        "settings": {
+            "balancers": 2, "tickUs": 5000, "kinds": ["k"], "tenants": [{"name": "acme"}],
+            "domain": {"sizeCores": [8], "classLoad": [false, false, true], "takesGrants": true},
+            "profiles": [
+                {"name": "read", "promiseUs": 400_000, "deadlineUs": 60_000_000, "effect": "read_like"},
+                {"name": "once", "promiseUs": 400_000, "deadlineUs": 60_000_000, "effect": "non_idempotent"},
+                {"name": "load", "promiseUs": 400_000, "deadlineUs": 60_000_000, "effect": "idempotency_key",
+                    "memorySpanUs": 15_000_000}],
+            "allowed": {"tryLimit": 3, "secondCopies": true, "mayCancel": true, "peers": true,
+                "retryAfter": true, "maxRetryAfterUs": 2_000_000},
+            "rules": {"coldUs": 1000, "tipAfterUs": 1000}}})
+}
+
+pub struct Served {
+    pub address: SocketAddr,
+    pub reloads: tokio::sync::mpsc::UnboundedSender<(Value, Operators)>,
+    pub counts: tokio::sync::mpsc::UnboundedSender<mpsc::Sender<Counts>>,
+    pub stop: Option<tokio::sync::oneshot::Sender<()>>,
+    pub thread: Option<JoinHandle<()>>,
+}
+
+impl Served {
+    pub fn by(configuration: &Value) -> Served {
+        Served::with(configuration, Operators::default(), None)
+    }
+
+    pub fn with(configuration: &Value, operators: Operators, disk: Option<Arc<dyn Disk>>) -> Served {
+        let configuration = configuration.clone();
+        let (told, address) = mpsc::channel();
+        let (stop, mut stopped) = tokio::sync::oneshot::channel::<()>();
+        let (reloads, mut reloaded) = tokio::sync::mpsc::unbounded_channel::<(Value, Operators)>();
+        let (counts, mut asked) = tokio::sync::mpsc::unbounded_channel::<mpsc::Sender<Counts>>();
+        let thread = std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async {
+                let start = config::read_with(&configuration, None, None, operators).unwrap();
+                let log = slog::Logger::root(slog::Discard, slog::o!());
+                let gateway = Gateway::start_on(start, log, disk).await.unwrap();
+                told.send(gateway.address()).unwrap();
+                loop {
+                    tokio::select! {
+                        _ = &mut stopped => break,
+                        Some(told) = asked.recv() => drop(told.send(gateway.bodies())),
+                        Some((newer, operators)) = reloaded.recv() => {
+                            gateway.reload(config::read_with(&newer, None, None, operators).unwrap());
+                        }
+                    }
+                }
+                gateway.shut_down().await;
+            });
+        });
+        let address = address.recv().unwrap();
+        Served { address, reloads, counts, stop: Some(stop), thread: Some(thread) }
+    }
+
+    pub fn reload(&self, configuration: Value) -> Result<(), ()> {
+        self.reloads.send((configuration, Operators::default())).map_err(drop)
+    }
+
+    /// What is held of texts beyond the ordinary size.
+    pub fn bodies(&self) -> Counts {
+        let (told, counts) = mpsc::channel();
+        self.counts.send(told).unwrap();
+        counts.recv_timeout(LONG).unwrap()
+    }
+
+    /// Waits until that holds of it.
+    pub fn wait_bodies(&self, what: &str, holds: impl Fn(&Counts) -> bool) -> Counts {
+        let began = std::time::Instant::now();
+        loop {
+            let counts = self.bodies();
+            if holds(&counts) {
+                return counts;
+            }
+            assert!(began.elapsed() < LONG, "{what}: {counts:?}");
+            std::thread::yield_now();
+        }
+    }
+
+    /// Ends it as SIGTERM does.
+    pub fn shut_down(&mut self) -> JoinHandle<()> {
+        self.stop.take().unwrap().send(()).unwrap();
+        self.thread.take().unwrap()
+    }
+
+    pub fn before(engines: &[SocketAddr]) -> Served {
+        Served::by(&configuration(engines))
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream
+    }
+
+    pub fn ask(&self, call: &str) -> Answered {
+        let mut stream = self.connect();
+        stream.write_all(call.as_bytes()).unwrap();
+        Answered::last(&mut BufReader::new(stream))
+    }
+
+    /// Asks beside what else the test does.
+    pub fn ask_aside(&self, call: String) -> JoinHandle<Answered> {
+        ask_aside(self.connect(), call)
+    }
+
+    pub fn get(&self, method: &str, path: &str) -> Answered {
+        let mut stream = self.connect();
+        stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n").as_bytes()).unwrap();
+        Answered::read(&mut BufReader::new(stream))
+    }
+}
+
+pub fn ask_aside(mut stream: TcpStream, call: String) -> JoinHandle<Answered> {
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream.write_all(call.as_bytes()).unwrap();
+    std::thread::spawn(move || Answered::last(&mut BufReader::new(stream)))
+}
+
+pub struct Answered {
+    pub status: u16,
+    pub headers: HashMap<String, String>,
+    pub body: Value,
+}
+
+impl Answered {
+    pub fn read(from: &mut impl BufRead) -> Answered {
+        let (first, headers, body) = read_message(from).expect("an answer");
+        let status = first.split(' ').nth(1).unwrap().parse().unwrap();
+        Answered { status, headers, body: serde_json::from_slice(&body).unwrap_or(Value::Null) }
+    }
+
+    /// Comes back on the same connection for as long as it is told to.
+    pub fn last(from: &mut BufReader<TcpStream>) -> Answered {
+        loop {
+            let answered = Answered::read(from);
+            let Some(link) = answered.body["link"].as_str() else { return answered };
+            let call = format!("GET {link} HTTP/1.1\r\nHost: h\r\n\r\n");
+            from.get_mut().write_all(call.as_bytes()).unwrap();
+        }
+    }
+}
+
+pub const KEY: &str = "X-Operation-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
+
+pub fn call(workload: &str, id: u64, deadline_ms: u64, more: &str) -> String {
+    let text = "SELECT note FROM sales_17.orders";
+    format!(
+        "POST /svc/{workload} HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: {id:016x}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
+         X-Org: acme\r\n{more}Content-Length: {}\r\n\r\n{text}",
+        text.len()
+    )
+}
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,289 +1,20 @@
 //! The gateway on loopback, against small stand-ins for engines, clients, the name service and other gateways.
 
+mod common;
+use bramblewharf_gateway::config;
 use bramblewharf_gateway::names::{dial, read_answer, Asker, Word};
-use bramblewharf_gateway::{config, Gateway};
+use bramblewharf_standins::{answer, nobody, read_message, Call, Engine, Reply, LONG};
+use common::*;
 use hickory_proto::op::{Message, MessageType};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record};
 use quickcheck::{Arbitrary, Gen};
 use serde_json::{json, Value};
-use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::sync::{mpsc, Arc, Condvar, Mutex};
-use std::thread::JoinHandle;
+use std::sync::{mpsc, Arc, Mutex};
 use std::time::Duration;
 
-/// Nothing here takes so long unless it is broken.
-const LONG: Duration = Duration::from_secs(20);
-
-#[derive(Clone, Debug, Default)]
-struct Call {
-    method: String,
-    path: String,
-    headers: HashMap<String, String>,
-    body: Vec<u8>,
-}
-
-/// One message of HTTP, a call's or an answer's; none at the end of the connection.
-fn read_message(from: &mut impl BufRead) -> Option<(String, HashMap<String, String>, Vec<u8>)> {
-    let mut first = String::new();
-    if from.read_line(&mut first).ok()? == 0 {
-        return None;
-    }
-    let mut headers = HashMap::new();
-    loop {
-        let mut line = String::new();
-        from.read_line(&mut line).ok()?;
-        let Some((name, value)) = line.trim_end().split_once(':') else { break };
-        headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
-    }
-    let length = headers.get("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    from.read_exact(&mut body).ok()?;
-    Some((first.trim_end().to_string(), headers, body))
-}
-
-enum Reply {
-    Answer(u16, String, Vec<u8>),
-    /// These bytes, and the end of the connection, or nothing more.
-    Cut(Vec<u8>),
-    /// These bytes, and then whatever the next call brings.
-    Raw(Vec<u8>),
-    /// These bytes, and zeros for as long as they are taken.
-    Endless(Vec<u8>),
-    Frozen(&'static [u8]),
-    Reset,
-    Silent,
-}
-
-fn answer(status: u16, headers: &str, body: &[u8]) -> Reply {
-    Reply::Answer(status, headers.into(), body.into())
-}
-
-struct Engine {
-    address: SocketAddr,
-    calls: Arc<(Mutex<Vec<Call>>, Condvar)>,
-}
-
-impl Engine {
-    fn start(script: impl Fn(&Call) -> Reply + Send + Sync + 'static) -> Engine {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let calls = Arc::new((Mutex::new(Vec::new()), Condvar::new()));
-        let (seen, script) = (calls.clone(), Arc::new(script));
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (seen, script) = (seen.clone(), script.clone());
-                std::thread::spawn(move || Engine::serve(stream, &seen, &*script));
-            }
-        });
-        Engine { address, calls }
-    }
-
-    fn serve(stream: TcpStream, seen: &(Mutex<Vec<Call>>, Condvar), script: &dyn Fn(&Call) -> Reply) {
-        let mut read = BufReader::new(stream.try_clone().unwrap());
-        let mut write = &stream;
-        while let Some((first, headers, body)) = read_message(&mut read) {
-            let mut words = first.split(' ').map(String::from);
-            let (method, path) = (words.next().unwrap(), words.next().unwrap());
-            let call = Call { method, path, headers, body };
-            seen.0.lock().unwrap().push(call.clone());
-            seen.1.notify_all();
-            match script(&call) {
-                Reply::Answer(status, headers, body) => {
-                    let head =
-                        format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{headers}\r\n", body.len());
-                    let _ = write.write_all(&[head.as_bytes(), &body].concat());
-                }
-                Reply::Cut(bytes) => {
-                    let _ = write.write_all(&bytes);
-                    let _ = stream.shutdown(Shutdown::Both);
-                    return;
-                }
-                Reply::Raw(bytes) => {
-                    let _ = write.write_all(&bytes);
-                }
-                Reply::Endless(bytes) => {
-                    let _ = write.write_all(&bytes);
-                    while write.write_all(&[0; 4096]).is_ok() {}
-                    return;
-                }
-                Reply::Reset => {
-                    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
-                    return;
-                }
-                Reply::Frozen(bytes) => {
-                    let _ = write.write_all(bytes);
-                    let _ = read.read_to_end(&mut Vec::new());
-                    return;
-                }
-                Reply::Silent => {
-                    let _ = read.read_to_end(&mut Vec::new());
-                    seen.0.lock().unwrap().push(Call { method: "CLOSED".into(), ..call });
-                    seen.1.notify_all();
-                    return;
-                }
-            }
-        }
-    }
-
-    /// One that completes whatever comes, with one row.
-    fn well() -> Engine {
-        Engine::start(|_| answer(200, "Page-Count: 1\r\n", b"well\t1\tx\n"))
-    }
-
-    /// The first call for which `wanted` holds, once it has come.
-    fn wait(&self, wanted: impl Fn(&Call) -> bool) -> Call {
-        let calls = self.calls.0.lock().unwrap();
-        let none = |calls: &mut Vec<Call>| !calls.iter().any(&wanted);
-        let (calls, waited) = self.calls.1.wait_timeout_while(calls, LONG, none).unwrap();
-        assert!(!waited.timed_out(), "no such call among {calls:?}");
-        calls.iter().find(|call| wanted(call)).unwrap().clone()
-    }
-
-    fn posts(&self) -> usize {
-        self.calls.0.lock().unwrap().iter().filter(|call| call.method == "POST").count()
-    }
-}
-
-/// An address at which nothing listens, and which nobody else gets meanwhile: connections that go out are at 127.0.0.1, and
-/// other processes of these tests have hosts of their own. (A port of 127.0.0.1 was taken by somebody's outgoing
-/// connection now and then, and the program that was to listen there could not start.)
-fn nobody() -> SocketAddr {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, 64 | (std::process::id() >> 16) as u8 & 0x3f, high, low);
-    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
-}
-
-fn configuration(engines: &[SocketAddr]) -> Value {
-    let members: Vec<Value> = engines
-        .iter()
-        .enumerate()
-        .map(|(at, address)| {
-            json!({"id": format!("e{at}"), "host_port": address.to_string(), "locality": "z", "flavor": "k",
-                "cell": 0, "phase": "up", "size": 4, "up_since_ms": 0})
-        })
-        .collect();
-    json!({
-        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"no": 1, "items": [{"no": 1, "roster": {"revision": 1, "complete": true, "members": members}}]},
-        "settings": {
-            "balancers": 2, "tickUs": 5000, "kinds": ["k"], "tenants": [{"name": "acme"}],
-            "domain": {"sizeCores": [8], "classLoad": [false, false, true], "takesGrants": true},
-            "profiles": [
-                {"name": "read", "promiseUs": 400_000, "deadlineUs": 60_000_000, "effect": "read_like"},
-                {"name": "once", "promiseUs": 400_000, "deadlineUs": 60_000_000, "effect": "non_idempotent"},
-                {"name": "load", "promiseUs": 400_000, "deadlineUs": 60_000_000, "effect": "idempotency_key",
-                    "memorySpanUs": 15_000_000}],
-            "allowed": {"tryLimit": 3, "secondCopies": true, "mayCancel": true, "peers": true,
-                "retryAfter": true, "maxRetryAfterUs": 2_000_000},
-            "rules": {"coldUs": 1000, "tipAfterUs": 1000}}})
-}
-
-struct Served {
-    address: SocketAddr,
-    reloads: tokio::sync::mpsc::UnboundedSender<Value>,
-    stop: Option<tokio::sync::oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Served {
-    fn by(configuration: &Value) -> Served {
-        let configuration = configuration.clone();
-        let (told, address) = mpsc::channel();
-        let (stop, mut stopped) = tokio::sync::oneshot::channel::<()>();
-        let (reloads, mut reloaded) = tokio::sync::mpsc::unbounded_channel::<Value>();
-        let thread = std::thread::spawn(move || {
-            actix_rt::System::new().block_on(async {
-                let start = config::read(&configuration, None, None).unwrap();
-                let log = slog::Logger::root(slog::Discard, slog::o!());
-                let gateway = Gateway::start(start, log).await.unwrap();
-                told.send(gateway.address()).unwrap();
-                loop {
-                    tokio::select! {
-                        _ = &mut stopped => break,
-                        Some(newer) = reloaded.recv() => gateway.reload(config::read(&newer, None, None).unwrap()),
-                    }
-                }
-                gateway.shut_down().await;
-            });
-        });
-        let address = address.recv().unwrap();
-        Served { address, reloads, stop: Some(stop), thread: Some(thread) }
-    }
-
-    fn before(engines: &[SocketAddr]) -> Served {
-        Served::by(&configuration(engines))
-    }
-
-    fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        stream.set_nodelay(true).unwrap();
-        stream
-    }
-
-    fn ask(&self, call: &str) -> Answered {
-        let mut stream = self.connect();
-        stream.write_all(call.as_bytes()).unwrap();
-        Answered::last(&mut BufReader::new(stream))
-    }
-
-    /// Asks beside what else the test does.
-    fn ask_aside(&self, call: String) -> JoinHandle<Answered> {
-        ask_aside(self.connect(), call)
-    }
-
-    fn get(&self, method: &str, path: &str) -> Answered {
-        let mut stream = self.connect();
-        stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n").as_bytes()).unwrap();
-        Answered::read(&mut BufReader::new(stream))
-    }
-}
-
-fn ask_aside(mut stream: TcpStream, call: String) -> JoinHandle<Answered> {
-    stream.set_read_timeout(Some(LONG)).unwrap();
-    stream.write_all(call.as_bytes()).unwrap();
-    std::thread::spawn(move || Answered::last(&mut BufReader::new(stream)))
-}
-
-struct Answered {
-    status: u16,
-    headers: HashMap<String, String>,
-    body: Value,
-}
-
-impl Answered {
-    fn read(from: &mut impl BufRead) -> Answered {
-        let (first, headers, body) = read_message(from).expect("an answer");
-        let status = first.split(' ').nth(1).unwrap().parse().unwrap();
-        Answered { status, headers, body: serde_json::from_slice(&body).unwrap_or(Value::Null) }
-    }
-
-    /// Comes back on the same connection for as long as it is told to.
-    fn last(from: &mut BufReader<TcpStream>) -> Answered {
-        loop {
-            let answered = Answered::read(from);
-            let Some(link) = answered.body["link"].as_str() else { return answered };
-            let call = format!("GET {link} HTTP/1.1\r\nHost: h\r\n\r\n");
-            from.get_mut().write_all(call.as_bytes()).unwrap();
-        }
-    }
-}
-
-const KEY: &str = "X-Operation-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
-
-fn call(workload: &str, id: u64, deadline_ms: u64, more: &str) -> String {
-    let text = "SELECT note FROM sales_17.orders";
-    format!(
-        "POST /svc/{workload} HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: {id:016x}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
-         X-Org: acme\r\n{more}Content-Length: {}\r\n\r\n{text}",
-        text.len()
-    )
-}
-
 #[test]
 fn a_result_comes_whole_in_order_and_unchanged() {
     let page = |n: usize| format!("{n}\tq\"\\/\u{1}\tzwölf\n{n}b\t\t \n").into_bytes();
@@ -1007,9 +738,9 @@
     first.wait(|call| call.headers.get("x-ticket").is_some_and(|id| id.ends_with("384")));
     for _ in 0..3 {
         configuration["names"] = json!(nobody().to_string());
-        served.reloads.send(configuration.clone()).unwrap();
+        served.reload(configuration.clone()).unwrap();
         configuration["names"] = json!(new.to_string());
-        served.reloads.send(configuration.clone()).unwrap();
+        served.reload(configuration.clone()).unwrap();
     }
     while asked.recv_timeout(LONG).unwrap() < 3 {}
     assert_eq!(served.ask(&call("once", 901, 60_000, "")).body, json!({"values": [["well", "1", "x"]]}));
@@ -1019,7 +750,7 @@
         (newer["known"]["no"], newer["names"]) = (json!(no), json!(new.to_string()));
         newer
     };
-    served.reloads.send(on_file(5, at_first)).unwrap();
+    served.reload(on_file(5, at_first)).unwrap();
     assert_eq!(served.ask(&call("once", 902, 60_000, "")).status, 200);
     *open.lock().unwrap() = true;
     assert_eq!(held.join().unwrap().body, json!({"values": [["done"]]}));
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,188 @@
+//! An engine of the platform's protocol, by a script: what it takes of a call, and how it answers. It records every call with
+//! every byte of its body, and what of it came.
+
+use crate::http::{read_body, read_head};
+use crate::LONG;
+use std::collections::HashMap;
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    pub method: String,
+    pub path: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+    /// The body came whole.
+    pub whole: bool,
+}
+
+pub enum Reply {
+    Answer(u16, String, Vec<u8>),
+    /// These bytes, and the end of the connection, or nothing more.
+    Cut(Vec<u8>),
+    /// These bytes, and then whatever the next call brings.
+    Raw(Vec<u8>),
+    /// These bytes, and zeros for as long as they are taken.
+    Endless(Vec<u8>),
+    Frozen(&'static [u8]),
+    Reset,
+    Silent,
+}
+
+/// What is taken of a call's body before it is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Take {
+    All,
+    /// So many bytes; what follows is never read.
+    Only(u64),
+    /// All, a byte each time.
+    Slowly(Duration),
+}
+
+pub fn answer(status: u16, headers: &str, body: &[u8]) -> Reply {
+    Reply::Answer(status, headers.into(), body.into())
+}
+
+pub type Calls = Arc<(Mutex<Vec<Call>>, Condvar)>;
+
+pub struct Engine {
+    pub address: SocketAddr,
+    pub calls: Calls,
+}
+
+impl Engine {
+    pub fn start(script: impl Fn(&Call) -> Reply + Send + Sync + 'static) -> Engine {
+        Engine::taking(|_| Take::All, script)
+    }
+
+    /// `take` sees a call without its body.
+    pub fn taking(
+        take: impl Fn(&Call) -> Take + Send + Sync + 'static,
+        script: impl Fn(&Call) -> Reply + Send + Sync + 'static,
+    ) -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let calls = Arc::new((Mutex::new(Vec::new()), Condvar::new()));
+        let (seen, script) = (calls.clone(), Arc::new((take, script)));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (seen, script) = (seen.clone(), script.clone());
+                std::thread::spawn(move || Engine::serve(stream, &seen, &script.0, &script.1));
+            }
+        });
+        Engine { address, calls }
+    }
+
+    fn serve(
+        stream: TcpStream,
+        seen: &(Mutex<Vec<Call>>, Condvar),
+        take: &dyn Fn(&Call) -> Take,
+        script: &dyn Fn(&Call) -> Reply,
+    ) {
+        let mut read = BufReader::new(stream.try_clone().unwrap());
+        let mut write = &stream;
+        let tell = |call: Call| {
+            seen.0.lock().unwrap().push(call);
+            seen.1.notify_all();
+        };
+        while let Some((first, headers)) = read_head(&mut read) {
+            let mut words = first.split(' ').map(String::from);
+            let (method, path) = (words.next().unwrap(), words.next().unwrap());
+            let mut call = Call { method, path, headers, ..Call::default() };
+            let taken = take(&call);
+            let mut body = Vec::new();
+            let came = match taken {
+                Take::All => read_body(&mut read, &call.headers, &mut body, u64::MAX),
+                Take::Only(most) => read_body(&mut read, &call.headers, &mut body, most),
+                Take::Slowly(pause) => {
+                    let length = call.headers.get("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+                    let mut byte = [0];
+                    while body.len() < length && read.read_exact(&mut byte).is_ok() {
+                        body.push(byte[0]);
+                        std::thread::sleep(pause);
+                    }
+                    (body.len() == length).then_some(())
+                }
+            };
+            call.whole = came.is_some() && !matches!(taken, Take::Only(_));
+            call.body = body;
+            tell(call.clone());
+            if came.is_none() {
+                return;
+            }
+            match script(&call) {
+                Reply::Answer(status, headers, body) => {
+                    let head =
+                        format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{headers}\r\n", body.len());
+                    let _ = write.write_all(&[head.as_bytes(), &body].concat());
+                    if matches!(taken, Take::Only(_)) {
+                        // It reads no further, and the connection with what is unread on it stays for a while.
+                        let _ = stream.shutdown(Shutdown::Write);
+                        std::thread::sleep(Duration::from_millis(300));
+                        return;
+                    }
+                }
+                Reply::Cut(bytes) => {
+                    let _ = write.write_all(&bytes);
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return;
+                }
+                Reply::Raw(bytes) => {
+                    let _ = write.write_all(&bytes);
+                }
+                Reply::Endless(bytes) => {
+                    let _ = write.write_all(&bytes);
+                    while write.write_all(&[0; 4096]).is_ok() {}
+                    return;
+                }
+                Reply::Reset => {
+                    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                    return;
+                }
+                Reply::Frozen(bytes) => {
+                    let _ = write.write_all(bytes);
+                    let _ = read.read_to_end(&mut Vec::new());
+                    return;
+                }
+                Reply::Silent => {
+                    if matches!(taken, Take::Only(_)) {
+                        std::thread::sleep(LONG);
+                        return;
+                    }
+                    let _ = read.read_to_end(&mut Vec::new());
+                    tell(Call { method: "CLOSED".into(), ..call });
+                    return;
+                }
+            }
+        }
+    }
+
+    /// One that completes whatever comes, with one row.
+    pub fn well() -> Engine {
+        Engine::start(|_| answer(200, "Page-Count: 1\r\n", b"well\t1\tx\n"))
+    }
+
+    /// The first call for which `wanted` holds, once it has come.
+    pub fn wait(&self, wanted: impl Fn(&Call) -> bool) -> Call {
+        let calls = self.calls.0.lock().unwrap();
+        let none = |calls: &mut Vec<Call>| !calls.iter().any(&wanted);
+        let (calls, waited) = self.calls.1.wait_timeout_while(calls, LONG, none).unwrap();
+        let shown = |calls: &[Call]| -> Vec<String> {
+            calls.iter().map(|call| format!("{} {} {}", call.method, call.path, call.body.len())).collect()
+        };
+        assert!(!waited.timed_out(), "no such call among {:?}", shown(&calls));
+        calls.iter().find(|call| wanted(call)).unwrap().clone()
+    }
+
+    pub fn posts(&self) -> usize {
+        self.calls.0.lock().unwrap().iter().filter(|call| call.method == "POST").count()
+    }
+
+    /// Executions that were begun here, with what came of them.
+    pub fn posted(&self) -> Vec<Call> {
+        self.calls.0.lock().unwrap().iter().filter(|call| call.method == "POST").cloned().collect()
+    }
+}
