--- a/crates/gateway/tests/bodies.rs
+++ b/crates/gateway/tests/bodies.rs
@@ -89,7 +89,7 @@
 enum Kept {
     Memory,
     File,
-    NotKept,
+    Passing,
     /// Its length was not told; it goes through memory into a file while it comes.
     Growing,
 }
@@ -113,30 +113,30 @@
 const TABLE: &[(Goes, Kept, [u16; 3], [usize; 3])] = &[
     (Goes::Refused,        Kept::Memory,  [200, 200, 200], [1, 1, 1]),
     (Goes::Refused,        Kept::File,    [200, 200, 200], [1, 1, 1]),
-    (Goes::Refused,        Kept::NotKept, [200, 200, 200], [1, 1, 1]),
+    (Goes::Refused,        Kept::Passing, [200, 200, 200], [1, 1, 1]),
     (Goes::Refused,        Kept::Growing, [200, 200, 200], [1, 1, 1]),
     (Goes::ShedBefore,     Kept::Memory,  [200, 200, 200], [2, 2, 2]),
     (Goes::ShedBefore,     Kept::File,    [200, 200, 200], [2, 2, 2]),
-    (Goes::ShedBefore,     Kept::NotKept, [503, 503, 503], [1, 1, 1]),
+    (Goes::ShedBefore,     Kept::Passing, [503, 503, 503], [1, 1, 1]),
     (Goes::ShedBefore,     Kept::Growing, [200, 200, 200], [2, 2, 2]),
     (Goes::ShedAfter,      Kept::Memory,  [200, 200, 200], [2, 2, 2]),
     (Goes::ShedAfter,      Kept::File,    [200, 200, 200], [2, 2, 2]),
-    (Goes::ShedAfter,      Kept::NotKept, [503, 503, 503], [1, 1, 1]),
+    (Goes::ShedAfter,      Kept::Passing, [503, 503, 503], [1, 1, 1]),
     (Goes::ShedAfter,      Kept::Growing, [200, 200, 200], [2, 2, 2]),
     (Goes::ResetWithin,    Kept::Memory,  [200, 200, 500], [2, 2, 1]),
     (Goes::ResetWithin,    Kept::File,    [200, 200, 500], [2, 2, 1]),
-    (Goes::ResetWithin,    Kept::NotKept, [503, 503, 500], [1, 1, 1]),
+    (Goes::ResetWithin,    Kept::Passing, [503, 503, 500], [1, 1, 1]),
     (Goes::ResetWithin,    Kept::Growing, [200, 200, 500], [2, 2, 1]),
     (Goes::ResetAfter,     Kept::Memory,  [200, 200, 500], [2, 2, 1]),
     (Goes::ResetAfter,     Kept::File,    [200, 200, 500], [2, 2, 1]),
-    (Goes::ResetAfter,     Kept::NotKept, [503, 503, 500], [1, 1, 1]),
+    (Goes::ResetAfter,     Kept::Passing, [503, 503, 500], [1, 1, 1]),
     (Goes::ResetAfter,     Kept::Growing, [200, 200, 500], [2, 2, 1]),
     (Goes::Silent,         Kept::Memory,  [200, 200, 500], [2, 2, 1]),
     (Goes::Silent,         Kept::File,    [200, 200, 500], [2, 2, 1]),
-    (Goes::Silent,         Kept::NotKept, [503, 503, 500], [1, 1, 1]),
+    (Goes::Silent,         Kept::Passing, [503, 503, 500], [1, 1, 1]),
     (Goes::Fails,          Kept::Memory,  [200, 200, 500], [2, 2, 1]),
     (Goes::Fails,          Kept::File,    [200, 200, 500], [2, 2, 1]),
-    (Goes::Fails,          Kept::NotKept, [503, 503, 500], [1, 1, 1]),
+    (Goes::Fails,          Kept::Passing, [503, 503, 500], [1, 1, 1]),
     (Goes::Fails,          Kept::Growing, [200, 200, 500], [2, 2, 1]),
     (Goes::SpoolReadFails, Kept::File,    [503, 503, 500], [1, 1, 1]),
     (Goes::SpoolReadFails, Kept::Growing, [503, 503, 500], [1, 1, 1]),
@@ -210,7 +210,7 @@
     } else {
         call
     };
-    let call = if goes == Goes::Silent && kept == Kept::NotKept {
+    let call = if goes == Goes::Silent && kept == Kept::Passing {
         String::from_utf8(call).unwrap().replace("X-Deadline-Ms: 20000", "X-Deadline-Ms: 2000").into_bytes()
     } else {
         call
@@ -218,7 +218,7 @@
     let answered = send(&served, call).join().unwrap();
     assert_eq!(answered.status, status, "{case}: {}", answered.body);
     // An answer without a result says whether the text was kept.
-    let unkept = status != 200 && (kept == Kept::NotKept || goes == Goes::SpoolReadFails);
+    let unkept = status != 200 && (kept == Kept::Passing || goes == Goes::SpoolReadFails);
     assert_eq!(is_unkept(&answered), unkept, "{case}");
     let calls: Vec<Call> = [ill.posted(), well.posted()].concat();
     // What passed into an engine that reads none of it may have been cut at the head.
@@ -236,7 +236,7 @@
 
 #[test]
 fn a_client_that_leaves_in_mid_body_starts_nothing_that_ends() {
-    for kept in [Kept::Memory, Kept::File, Kept::NotKept, Kept::Growing] {
+    for kept in [Kept::Memory, Kept::File, Kept::Passing, Kept::Growing] {
         for (workload, _) in CLASSES {
             let well = Engine::well();
             let memory = if kept == Kept::Memory { (1024, 4096) } else { (100, 256) };
@@ -252,7 +252,7 @@
             let mut stream = served.connect();
             stream.write_all(&call[..400 * KB]).unwrap();
             served.wait_bodies("it comes", |counts| counts.bodies == 1);
-            if kept == Kept::NotKept {
+            if kept == Kept::Passing {
                 // The engine has begun to read it: only the end of the connection tells it that the rest never comes.
                 served.wait_bodies("it passes", |counts| counts.taken_not_kept == 1);
             }
@@ -352,7 +352,7 @@
 #[test]
 fn engines_that_do_not_wait_for_the_end() {
     let text = text(900 * KB);
-    for kept in [Kept::File, Kept::NotKept] {
+    for kept in [Kept::File, Kept::Passing] {
         let files = (kept == Kept::File).then_some((4096, 8192));
         let start = |engines: &[SocketAddr]| {
             let operators = operators(2048, (100, 512), files, "");
