A long text's tables are looked for in its beginning first; kill and start in one folder

Change: the first 2 KB are looked at first; what a cut may have shortened does not count. A test of the program: killed with a text in its file and started in the same folder, a neighbour's folder beside it, settings half written and then smaller.

--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -18,9 +18,14 @@
     Keyword::COPY,
 ];
 
+/// Of a long text, what is looked at first.
+const BEGINNING: usize = 2048;
+
 /// None where the text names no group; what comes behind a place that cannot be read is passed over.
 pub fn group(statement: &[u8]) -> Option<u64> {
-    find(statement, true)
+    // Most name their tables at once, and what follows in a long one may be rows without end.
+    let first = statement.get(..BEGINNING).and_then(group_of_part);
+    first.or_else(|| find(statement, true))
 }
 
 fn find(statement: &[u8], whole: bool) -> Option<u64> {
@@ -35,6 +40,10 @@
     let mut at = 0;
     while at < tokens.len() {
         let name = name_at(&tokens, at);
+        // The cut may be within a dotted name.
+        if !whole && at + 2 * name.len() >= tokens.len() {
+            return None;
+        }
         let before = at.checked_sub(1).map(|before| tokens[before]);
         if let [.., schema, _] = name[..] {
             let group = number(schema);
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -961,8 +961,12 @@
 
 impl Program {
     fn start(file: &std::path::Path) -> Program {
+        Program::with(file, &[])
+    }
+
+    fn with(file: &std::path::Path, more: &[&str]) -> Program {
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_bramblewharf"));
-        let command = command.env_remove("EDGE_LISTEN").env("EDGE_CONFIG", file).arg("serve");
+        let command = command.env_remove("EDGE_LISTEN").env("EDGE_CONFIG", file).arg("serve").args(more);
         let mut child = command.stderr(std::process::Stdio::piped()).spawn().unwrap();
         let log = BufReader::new(child.stderr.take().unwrap());
         let (told, lines) = mpsc::channel();
@@ -990,6 +994,78 @@
     std::env::temp_dir().join(format!("bramblewharf-{}-{name}", std::process::id()))
 }
 
+/// Killed with a text in a file and started again in the same folder: nothing is left of it, a neighbour's folder stays, and
+/// the settings are read again by SIGHUP, a wrong one leaving those in force.
+#[test]
+fn the_program_keeps_texts_in_a_folder_of_its_own() {
+    let gate = Arc::new(Mutex::new(false));
+    let open = gate.clone();
+    let engine = Engine::start(move |_| match *open.lock().unwrap() {
+        true => answer(200, "Page-Count: 1\r\n", b"done\n"),
+        false => answer(202, "", b""),
+    });
+    let dir = temporary("bodies");
+    std::fs::create_dir(&dir).unwrap();
+    let (file, settings) = (dir.join("gateway.json"), dir.join("gateway.hcl"));
+    let listen = nobody();
+    let mut configuration = configuration(&[engine.address]);
+    configuration["listen"] = json!(listen.to_string());
+    std::fs::write(&file, configuration.to_string()).unwrap();
+    let hcl = format!(
+        "bodies {{\n largest = \"4 MiB\"\n memory {{\n each = \"64 KiB\"\n }}\n files {{\n dir = \"{}\"\n each = \"4 MiB\"\n \
+         pool = \"64 MiB\"\n }}\n}}\n",
+        dir.display()
+    );
+    std::fs::write(&settings, &hcl).unwrap();
+    let neighbour = bramblewharf_bodies::spool::Folder::open(&dir).unwrap();
+    let start = || {
+        let program = Program::with(&file, &["--settings", settings.to_str().unwrap()]);
+        let line = program.wait("files for bodies");
+        program.wait("serving");
+        (program, line)
+    };
+    let folders = || {
+        let names = std::fs::read_dir(&dir).unwrap().map(|entry| entry.unwrap().file_name());
+        names.filter(|name| name.to_string_lossy().starts_with("bodies-")).count()
+    };
+    let text = "SELECT 1 ".repeat(100_000);
+    let load = |id: u64| {
+        format!(
+            "POST /svc/load HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: {id:016x}\r\nX-Deadline-Ms: 20000\r\nX-Org: acme\r\n{KEY}\
+             Content-Length: {}\r\n\r\n{text}",
+            text.len()
+        )
+    };
+    let (mut killed, line) = start();
+    assert!(line.contains("removed: 0"), "{line}");
+    let lost = ask_aside(TcpStream::connect(listen).unwrap(), load(1));
+    engine.wait(|call| call.method == "POST" && call.body.len() == text.len());
+    assert_eq!(folders(), 2);
+    killed.child.kill().unwrap();
+    killed.child.wait().unwrap();
+    assert!(lost.join().is_err());
+    let (mut again, line) = start();
+    assert!(line.contains("removed: 1") && neighbour.path().exists() && folders() == 2, "{line}");
+    // Half written: the old one stays in force. Then smaller.
+    std::fs::write(&settings, &hcl[..hcl.len() / 2]).unwrap();
+    again.signal("-HUP");
+    assert!(again.wait("configuration not reloaded").contains("gateway.hcl:"));
+    let held = ask_aside(TcpStream::connect(listen).unwrap(), load(2));
+    engine.wait(|call| call.headers.get("x-ticket").is_some_and(|id| id.ends_with('2')));
+    std::fs::write(&settings, hcl.replace("largest = \"4 MiB\"", "largest = \"128 KiB\"")).unwrap();
+    again.signal("-HUP");
+    again.wait("configuration reloaded");
+    assert_eq!(ask_aside(TcpStream::connect(listen).unwrap(), load(3)).join().unwrap().status, 413);
+    // SIGTERM with one held.
+    again.signal("-TERM");
+    *gate.lock().unwrap() = true;
+    assert_eq!(held.join().unwrap().body, json!({"values": [["done"]]}));
+    assert_eq!(again.child.wait().unwrap().code(), Some(0));
+    assert_eq!(folders(), 1);
+    drop(neighbour);
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
 /// SIGHUP ends nothing, not even before the configuration is read; what is wrong leaves the old one in force.
 #[test]
 fn the_program_reloads_by_sighup() {
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -33,3 +33,29 @@
     }
     assert_eq!(group(b"SELECT * FROM sales_15.t WHERE x = '\xff\xfe'"), Some(15));
 }
+
+/// However a text is cut, what is found in its beginning is what is found in all of it, and a long text says the same as a
+/// short one.
+#[test]
+fn the_beginning_of_a_text_says_nothing_wrong() {
+    let texts = [
+        "SELECT a FROM sales_17.orders, x_4.y WHERE b = 'from c_5.d' -- join e_6.f",
+        "INSERT INTO x_5.sales_17 . orders VALUES (1, 'a')",
+        "/* from a_1.b */ SELECT c, d_2.e FROM f_30.g JOIN h_4.i ON 1 = 1",
+        "SELECT 'a_1.b'  , c FROM   staging.d  JOIN e_77.f USING (g)",
+        "COPY plans_123.rooms FROM STDIN",
+        "ANALYZE plans_9.rooms",
+    ];
+    for text in texts {
+        let all = bramblewharf_gateway::tables::group(text.as_bytes());
+        assert!(all.is_some(), "{text}");
+        for at in 0..=text.len() {
+            let part = bramblewharf_gateway::tables::group_of_part(&text.as_bytes()[..at]);
+            assert!(part.is_none() || part == all, "{part:?} of {}", &text[..at]);
+        }
+        let long = format!("{text}\n{}", "/* rows */ ".repeat(1000));
+        assert_eq!(bramblewharf_gateway::tables::group(long.as_bytes()), all, "{text}");
+        let late = format!("{}\n{text}", "/* rows */ ".repeat(1000));
+        assert_eq!(bramblewharf_gateway::tables::group(late.as_bytes()), all, "{text}");
+    }
+}
