--- a/crates/bodies/src/keeper.rs
+++ b/crates/bodies/src/keeper.rs
@@ -16,6 +16,9 @@
 use std::time::Instant;
 use tokio::sync::Notify;
 
+/// What one body sends before all else on this thread has its turn: a fast engine would take megabytes at once.
+const TURN: usize = 64 * 1024;
+
 /// How much of its beginning is looked at.
 const BEGINNING: usize = 16 * 1024;
 
@@ -475,7 +478,7 @@
             waits: Cell::new(false),
             ended: Cell::new(false),
         });
-        Some(Outgoing { body: self.clone(), at: 0, reading: None, pace })
+        Some(Outgoing { body: self.clone(), at: 0, reading: None, in_turn: 0, pace })
     }
 
     /// What passes goes to one execution, and that has ended: nothing of it is wanted any more, and who pushes need not wait.
@@ -548,6 +551,8 @@
     body: Rc<Body>,
     at: usize,
     reading: Option<Reading>,
+    /// Sent since others had their turn.
+    in_turn: usize,
     pub pace: Rc<Pace>,
 }
 
@@ -627,6 +632,11 @@
 
     fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         let this = self.get_mut();
+        if this.in_turn >= TURN {
+            this.in_turn = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let next = this.next(cx);
         this.pace.waits.set(next.is_pending());
         this.pace.moved.set(Instant::now());
@@ -637,6 +647,7 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Ok(piece))) => {
+                this.in_turn += piece.len();
                 let body = &this.body;
                 body.pieces.set(body.pieces.get().saturating_add(1));
                 // Kept only until a second one is taken: by then the first has been written.
--- a/crates/bodies/tests/keeper.rs
+++ b/crates/bodies/tests/keeper.rs
@@ -86,6 +86,28 @@
     });
 }
 
+/// Whatever takes it as fast as it is given: all else on the thread has its turn every 64 KiB.
+#[test]
+fn a_large_text_does_not_keep_the_thread_to_itself() {
+    run(async {
+        let keeper = Keeper::new(Bounds { memory_each: 2048 * KB, ..bounds() }, None);
+        let body = put(&keeper, &text(1_000_000, 1), true).await.unwrap();
+        let turns = std::cell::Cell::new(0);
+        let others = async {
+            loop {
+                turns.set(turns.get() + 1);
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            got = get(&body) => assert_eq!(got.unwrap().len(), 1_000_000),
+            () = others => {}
+        }
+        assert!(turns.get() >= 1_000_000 / (75 * 1024), "{} turns", turns.get());
+    });
+}
+
 #[test]
 fn what_passes_goes_to_one_reader_as_it_comes_and_the_sender_waits_for_it() {
     run(async {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -131,6 +131,9 @@
     }
     // From here on what may be read ahead is bounded by what is taken from actix-http.
     line.into_iter().for_each(|line| line.allow(usize::MAX));
+    if core.turns_away() {
+        return Ok(Came::NoRoom);
+    }
     let body = match core.bodies.begin(told, core.strict[workload]) {
         Ok(body) => body,
         Err(Refusal::TooLarge) => return Err(TOO_LARGE),
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -280,6 +280,13 @@
         self.due.first_key_value().map(|(at, _)| at.0)
     }
 
+    /// Whether one more statement would be rejected at the bound: then its text need not come at all.
+    pub fn turns_away(&mut self) -> bool {
+        let full = self.stmts.len() >= self.most;
+        self.counts.at_bound += u64::from(full);
+        full
+    }
+
     /// Statements that wait for their answer.
     pub fn open(&self) -> usize {
         self.open
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -132,6 +132,11 @@
         effects.into_iter().for_each(|effect| self.carry_out(effect));
     }
 
+    /// Whether a statement whose large text begins to come would be rejected for want of room for statements.
+    pub fn turns_away(&self) -> bool {
+        self.reducer.borrow_mut().turns_away()
+    }
+
     /// A number for a new caller, and where its answer will be.
     pub fn expect(&self) -> (u64, oneshot::Receiver<Answer>) {
         let caller = self.callers.get();
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -83,7 +83,8 @@
         self.cut.clone()
     }
 
-    /// The answer, if it comes `within` that time of the last piece, and the engine goes on taking them.
+    /// The answer, if the engine goes on taking pieces, answers soon after the last, and is whole `within` that time once it
+    /// has begun early.
     pub async fn watch<T>(self, within: Duration, answered: impl Future<Output = Option<T>>) -> Option<T> {
         let mut answered = pin!(answered);
         loop {
@@ -98,7 +99,8 @@
                 self.cut.waker.take().into_iter().for_each(Waker::wake);
             }
             let over = self.pace.ended.get() || self.cut.cut.get();
-            let patience = if over { within } else { TAKES_NOTHING };
+            // Behind the last piece megabytes may still be in the system's buffers.
+            let patience = if self.cut.cut.get() { within } else { TAKES_NOTHING };
             if (over || !self.pace.waits.get()) && self.pace.moved.get().elapsed() > patience {
                 return None;
             }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,7 +3,7 @@
 
 use crate::http::{read_body, read_head};
 use crate::LONG;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -160,9 +160,24 @@
         }
     }
 
-    /// One that completes whatever comes, with one row.
+    /// One that completes whatever came whole, with one row.
     pub fn well() -> Engine {
-        Engine::start(|_| answer(200, "Page-Count: 1\r\n", b"well\t1\tx\n"))
+        let known = Mutex::new(HashSet::new());
+        Engine::start(move |call| {
+            let mut known = known.lock().unwrap();
+            let id = match call.headers.get("x-ticket") {
+                Some(id) => {
+                    known.insert(id.clone());
+                    id.as_str()
+                }
+                None => call.path.split('/').nth(2).unwrap_or_default(),
+            };
+            // A statement that never came whole is not known.
+            match known.contains(id) {
+                true => answer(200, "Page-Count: 1\r\n", b"well\t1\tx\n"),
+                false => answer(500, "", b""),
+            }
+        })
     }
 
     /// The first call for which `wanted` holds, once it has come.
@@ -181,6 +196,14 @@
         self.calls.0.lock().unwrap().iter().filter(|call| call.method == "POST").count()
     }
 
+    /// Waits until so many executions were begun here and recorded.
+    pub fn wait_posts(&self, count: usize) {
+        let calls = self.calls.0.lock().unwrap();
+        let fewer = |calls: &mut Vec<Call>| calls.iter().filter(|call| call.method == "POST").count() < count;
+        let (_calls, waited) = self.calls.1.wait_timeout_while(calls, LONG, fewer).unwrap();
+        assert!(!waited.timed_out(), "not {count} executions");
+    }
+
     /// Executions that were begun here, with what came of them.
     pub fn posted(&self) -> Vec<Call> {
         self.calls.0.lock().unwrap().iter().filter(|call| call.method == "POST").cloned().collect()
