--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -358,3 +358,33 @@
     assert!(stopped >= 1 && answered.len() == 1, "{stopped} {answered:?}");
     assert!(r.broken.counts().all(|(_, n)| n == 0));
 }
+
+/// On engines that answer within a millisecond some tens of them are no silence, and neither is the gateway's own pause.
+#[test]
+fn a_pause_of_the_gateways_own_calls_nothing_back() {
+    let mut r = reducer(true, 9);
+    let mut at = START;
+    let beats = |r: &mut Reducer, until: Duration| {
+        let mut effects = Vec::new();
+        while let Some(due) = r.due().filter(|due| *due <= until) {
+            effects.extend(r.step(due, Input::Wake));
+        }
+        effects
+    };
+    for n in 0..200 {
+        at += ms(1);
+        let id = format!("f{n}");
+        engine_of(&r.step(at, statement(&id, n, 0, 20_000)));
+        r.step(at + Duration::from_micros(400), ended(&id, 0, Outcome::Completed));
+    }
+    beats(&mut r, at);
+    let engine = engine_of(&r.step(at, statement("s", 900, 0, 20_000)));
+    assert!(beats(&mut r, at + ms(90)).is_empty());
+    // It stands still for two seconds; what the engine said meanwhile is read after that.
+    assert!(r.step(at + ms(2090), Input::Wake).is_empty());
+    let other = engine_of(&r.step(at + ms(2091), statement("t", 901, 0, 20_000)));
+    assert_ne!(engine, other);
+    assert!(matches!(answers(r.step(at + ms(2092), ended("s", 0, Outcome::Completed)))[..], [(900, _)]));
+    assert!(matches!(answers(r.step(at + ms(2092), ended("t", 0, Outcome::Completed)))[..], [(901, _)]));
+    assert_eq!((r.counts.stopped, r.counts.timed_out), (0, 0));
+}
