Tests of the embedded store don't wait for a disk

Change: those files are in a memory-backed folder where there is one; power is not cut in these tests.

--- a/crates/record/tests/sqlite.rs
+++ b/crates/record/tests/sqlite.rs
@@ -10,6 +10,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// In memory where there is such a place: every transaction waits for the disk, and power is not cut here.
+fn dir() -> tempfile::TempDir {
+    tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir()).unwrap()
+}
+
 fn owner(gateway: &str, incarnation: u64) -> Owner {
     Owner { gateway: gateway.into(), incarnation }
 }
@@ -28,7 +33,7 @@
 
 #[test]
 fn a_revision_is_there_once_with_its_number_and_digest() {
-    let dir = tempfile::tempdir().unwrap();
+    let dir = dir();
     let path = dir.path().join("record.db");
     let (us, text) = (owner("n0", 1), vec![b'x'; 5_000]);
     let digest = Digest::of(&text);
@@ -59,7 +64,7 @@
 
 #[test]
 fn a_dead_owners_intent_is_taken_over_after_its_lease_and_it_can_write_no_more() {
-    let dir = tempfile::tempdir().unwrap();
+    let dir = dir();
     let path = dir.path().join("record.db");
     let (mut store, mut other) = (Sqlite::open(&path).unwrap(), Sqlite::open(&path).unwrap());
     let (dead, we, key, digest) = (owner("n0", 1), owner("n1", 1), Key::from("k"), Digest::of(b"x"));
@@ -82,7 +87,7 @@
 
 #[test]
 fn a_full_locked_newer_or_broken_file_is_said_and_writes_nothing() {
-    let dir = tempfile::tempdir().unwrap();
+    let dir = dir();
     let path = dir.path().join("record.db");
     let (us, key, text) = (owner("n0", 1), Key::from("k"), vec![7; 2_000_000]);
     let digest = Digest::of(&text);
@@ -129,7 +134,7 @@
 
 /// Statements of a few keys through two gateways over one file; replies are lost, gateways crash, executions end in any way.
 fn run(steps: Vec<(u8, u8, u8)>) {
-    let dir = tempfile::tempdir().unwrap();
+    let dir = dir();
     let path = dir.path().join("record.db");
     let mut stores = [Sqlite::open(&path).unwrap(), Sqlite::open(&path).unwrap()];
     let mut owners = [owner("n0", 1), owner("n1", 1)];
