--- a/crates/bodies/tests/keeper.rs
+++ b/crates/bodies/tests/keeper.rs
@@ -43,6 +43,23 @@
     Ok(body)
 }
 
+/// All of it through a body that is not kept to its end, read by one execution from when it falls.
+async fn put_and_get_as_it_falls(body: &Rc<Body>, text: &[u8]) -> Vec<u8> {
+    let send = async {
+        for piece in text.chunks(10_001) {
+            body.push(Bytes::copy_from_slice(piece)).await.unwrap();
+        }
+        body.end().await.unwrap();
+    };
+    let read = async {
+        while body.tier() != Tier::NotKept {
+            tokio::task::yield_now().await;
+        }
+        get(body).await.unwrap()
+    };
+    tokio::join!(read, send).0
+}
+
 async fn get(body: &Rc<Body>) -> io::Result<Vec<u8>> {
     let mut outgoing = body.send().ok_or(io::ErrorKind::NotFound)?;
     let mut all = Vec::new();
@@ -166,19 +183,7 @@
             disk.0.room.store(room as i64, SeqCst);
             let all = text(1_000_000, 99);
             let body = keeper.begin(Some(all.len() as u64), false).unwrap();
-            let send = async {
-                for piece in all.chunks(10_001) {
-                    body.push(Bytes::copy_from_slice(piece)).await.unwrap();
-                }
-                body.end().await.unwrap();
-            };
-            let fell = async {
-                while body.tier() != Tier::NotKept {
-                    tokio::task::yield_now().await;
-                }
-                get(&body).await.unwrap()
-            };
-            let (got, ()) = tokio::join!(fell, send);
+            let got = put_and_get_as_it_falls(&body, &all).await;
             assert!(got == all, "room {room}");
             assert!(!body.is_kept() && body.send().is_none() && body.unkept().get());
             assert!(keeper.take_fault().is_some());
@@ -210,19 +215,7 @@
             spoil(&disk);
             let all = text(300_000, 1);
             let body = keeper.begin(Some(all.len() as u64), false).unwrap();
-            let send = async {
-                for piece in all.chunks(50_000) {
-                    body.push(Bytes::copy_from_slice(piece)).await.unwrap();
-                }
-                body.end().await.unwrap();
-            };
-            let read = async {
-                while body.tier() != Tier::NotKept {
-                    tokio::task::yield_now().await;
-                }
-                get(&body).await.unwrap()
-            };
-            assert!(tokio::join!(read, send).0 == all);
+            assert!(put_and_get_as_it_falls(&body, &all).await == all);
         }
     });
 }
@@ -352,19 +345,7 @@
             let all = text(1_000_000, 2);
             assert_eq!(put(&keeper, &all, true).await.err(), Some(Refusal::NoRoom));
             let body = keeper.begin(Some(all.len() as u64), false).unwrap();
-            let send = async {
-                for piece in all.chunks(10_001) {
-                    body.push(Bytes::copy_from_slice(piece)).await.unwrap();
-                }
-                body.end().await.unwrap();
-            };
-            let read = async {
-                while body.tier() != Tier::NotKept {
-                    tokio::task::yield_now().await;
-                }
-                get(&body).await.unwrap()
-            };
-            assert!(tokio::join!(read, send).0 == all);
+            assert!(put_and_get_as_it_falls(&body, &all).await == all);
             assert!(get(&small).await.unwrap() == text(290_000, 1));
         });
         return;
