--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,6 +45,8 @@
 const RATION: Budget = Budget { span: Duration::from_secs(5), free: 10.0, share: 0.3 };
 /// Share of what a cold engine stands that is used, and of its cores that a warm one surely works at.
 const COLD_CAUTION: f64 = 0.9;
+/// Where slices are crumbs, its share for light statements: one and a half times that may meet in a window.
+const COLD_LIGHT: f64 = 0.35;
 const WARM_WORK_PER_CORE: f64 = 0.75;
 const CORES_UNTOLD: f64 = 8.0;
 /// Loads of a table group that an engine is sent at once, engines for each at home, gateways told of one;
@@ -357,17 +359,30 @@
         !gone && (!self.site.list_is_asked || self.subscribed || now < self.list_at + span)
     }
     /// This gateway's share of what a cold engine stands, in the window before now. Where slices are crumbs
-    /// one gateway at a time has it, by turns of a window each; a window meets two turns, so a turn has half.
+    /// it goes by turns that each works out alone: one light statement each to as many gateways as it stands,
+    /// anew every half window; and half of it whole to one gateway, in the first half of a turn of two
+    /// windows, so that no window meets two.
     fn cold_has_room(&self, now: Duration, to: &Engine, row: &Row) -> bool {
-        let cold = &self.site.cold;
-        let sent = to.cold_sends.iter().filter(|s| s.0 + cold.window >= now).map(|s| s.1).sum::<f64>();
-        let stands =
-            to.cores * WARM_WORK_PER_CORE * cold.capacity * cold.multiple * cold.window.as_secs_f64();
+        let (cold, work, own) = (&self.site.cold, row.work.0, u64::from(self.site.gateway));
         let gateways = u64::from(self.site.gateways.max(1));
-        let slot = now.saturating_sub(to.entry.started).as_nanos() / cold.window.as_nanos().max(1);
-        let turn = mix(slot as u64, &to.entry.id) % gateways == u64::from(self.site.gateway);
-        let share = if self.crumbs { f64::from(u8::from(turn)) / 2.0 } else { 1.0 / gateways as f64 };
-        now >= to.warm_at || sent + row.work.0 <= stands * COLD_CAUTION * share
+        let stands = to.cores * WARM_WORK_PER_CORE * cold.capacity * cold.multiple * COLD_CAUTION;
+        let stands = stands * cold.window.as_secs_f64();
+        let since = now.saturating_sub(to.entry.started);
+        let sent = |span| to.cold_sends.iter().filter(|s| s.0 + span >= now).map(|s| s.1).sum::<f64>();
+        let turn = |span: Duration, many: u64| {
+            let slot = since.as_nanos() / span.as_nanos().max(1);
+            (mix(slot as u64, &to.entry.id) % gateways + own) % gateways < many && own < gateways
+        };
+        let (half, many) = (cold.window / 2, (stands * COLD_LIGHT / 2.0 / work) as u64);
+        let room = match (self.crumbs, many > 1) {
+            (false, _) => sent(cold.window) + work <= stands / gateways as f64,
+            (true, true) => turn(half, many) && sent(half) <= 0.0,
+            (true, false) => {
+                let early = since.as_nanos() % (cold.window * 2).as_nanos().max(1) < cold.window.as_nanos();
+                early && turn(cold.window * 2, 1) && sent(cold.window) + work <= stands / 2.0
+            }
+        };
+        now >= to.warm_at || room
     }
     /// On the very edge of its span a further execution still counts, a statement taken no longer does. Our own
     /// ration guards engines from work done again: one after refused connections alone is not on it.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -302,6 +302,42 @@
     assert!(sends.len() > 9, "only {} sends in nine seconds", sends.len());
 }
 
+/// Each of so many has little traffic: what the fleet as a whole may send to a cold engine is used all the same.
+#[test]
+fn three_hundred_gateways_use_what_a_cold_engine_stands() {
+    let terms = crowd(300, Idempotent);
+    let cold = terms.cold.clone();
+    let mut hands: Vec<_> = (0..300).map(|gateway| Hand::new(Site { gateway, ..terms.clone() }, 1)).collect();
+    let started = hands[0].now;
+    for hand in &mut hands {
+        let entry = EngineEntry { started, ..engine(0) };
+        hand.event(Event::Engines(ListKind::Changes, vec![entry]));
+    }
+    let mut sends = Vec::new();
+    // One statement every 700 ms each, and none for half of the time.
+    for at in 0..90 {
+        for (number, hand) in hands.iter_mut().enumerate() {
+            hand.now += ms(100);
+            if (at + number) % 7 != 0 || (30..60).contains(&at) {
+                continue;
+            }
+            if let (id, Some(engine)) = hand.sent(0) {
+                sends.push(hand.now);
+                hand.end(&id, 0, &engine, Outcome::Completed);
+            }
+        }
+    }
+    let stands = 4.0 * 0.85 * cold.capacity * cold.multiple * cold.window.as_secs_f64();
+    let within = |at: &std::time::Duration| {
+        sends.iter().filter(|s| **s <= *at && **s + cold.window >= *at).count() as f64
+    };
+    let most = sends.iter().map(within).fold(0.0, f64::max) * 0.1;
+    assert!(most <= stands, "{most} of {stands}");
+    let windows = 60.0 * 0.1 / cold.window.as_secs_f64();
+    let used = sends.len() as f64 * 0.1 / (stands * windows);
+    assert!(used > 0.06, "{used} of what it stands, {} sends", sends.len());
+}
+
 #[test]
 fn a_statement_already_too_late_gives_way() {
     let mut hand = Hand::new(site(vec![workload(Idempotent)]), 1);
