--- a/crates/budgets/src/scope.rs
+++ b/crates/budgets/src/scope.rs
@@ -21,6 +21,9 @@
     StatementsAtOnce,
     WeightAtOnce,
     MemoryAtOnce,
+    /// The engines themselves, as parts of a million of each: what the module may lend of them. No send takes from it; all who are
+    /// in need it alike.
+    Engines,
     /// Statements or weight a second; so many seconds' worth may be saved up.
     StatementsPerSecond,
     WeightPerSecond,
@@ -29,7 +32,7 @@
 impl Measure {
     /// Given back when the execution has ended, or can't be running any more.
     pub fn is_at_once(self) -> bool {
-        matches!(self, Measure::StatementsAtOnce | Measure::WeightAtOnce | Measure::MemoryAtOnce)
+        !matches!(self, Measure::StatementsPerSecond | Measure::WeightPerSecond)
     }
 }
 
@@ -48,7 +51,25 @@
     pub burst: Duration,
 }
 
+/// All of every engine, in the figures of a budget on them.
+pub const ENGINES: u64 = 1_000_000;
+
 impl Budget {
+    /// The engines, lent by all gateways together: a tenth evenly by place for ever, the rest evenly among those that are in.
+    pub fn engines() -> Budget {
+        let (measure, burst) = (Measure::Engines, Duration::ZERO);
+        let scope = Scope::default();
+        Budget {
+            name: "engines".into(),
+            scope,
+            measure,
+            whole: ENGINES,
+            floor_percent: 10,
+            quantum: 1,
+            burst,
+        }
+    }
+
     /// What each place has for ever: rounded down to what is of use, so that all floors together are within the whole.
     pub fn floor(&self, places: u32) -> u64 {
         let even = (self.whole / 100 * self.floor_percent + self.whole % 100 * self.floor_percent / 100)
@@ -63,6 +84,9 @@
 
     /// Whether a send counts here, and how much it takes.
     pub fn takes(&self, claim: &Claim) -> Option<u64> {
+        if self.measure == Measure::Engines {
+            return None;
+        }
         let same = |named: &Option<usize>, own: Option<usize>| named.is_none_or(|named| own == Some(named));
         let counts = same(&self.scope.workload, Some(claim.workload))
             && same(&self.scope.customer, claim.customer)
@@ -72,6 +96,7 @@
             Measure::StatementsAtOnce | Measure::StatementsPerSecond => GRAIN,
             Measure::WeightAtOnce | Measure::WeightPerSecond => grains(claim.weight),
             Measure::MemoryAtOnce => grains(claim.mem_mb),
+            Measure::Engines => 0,
         })
     }
 }
--- a/crates/budgets/src/usage.rs
+++ b/crates/budgets/src/usage.rs
@@ -4,8 +4,10 @@
 //! keeps the fleet's budgets; without it a gateway goes on by its floors. What has ended at an engine is free at once; what may
 //! yet run there unheard counts until it can't any more.
 
-use crate::{Budget, Claim, Patience, GRAIN};
+use crate::scope::ENGINES;
+use crate::{Budget, Claim, Measure, Patience, GRAIN};
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Kept of a need that is no longer there, at each telling: parts that are let go at once swing.
@@ -16,7 +18,7 @@
 /// What is left of one budget's part, as at a moment. It has its end in it, and whoever wants to send must show it the time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Left {
-    budget: Budget,
+    budget: Arc<Budget>,
     at: Duration,
     until: Duration,
     /// Grains of the floor and of the leave, less what is in use; below zero where more is in use than the part is.
@@ -63,6 +65,12 @@
         self.0.iter().all(|left| left.budget.takes(claim).is_none_or(|takes| left.now(now) >= takes as i64))
     }
 
+    /// The part of every engine that this gateway may lend now, where the fleet says so.
+    pub fn share(&self, now: Duration) -> Option<f64> {
+        let left = self.0.iter().find(|left| left.budget.measure == Measure::Engines)?;
+        Some(left.now(now).max(0) as f64 / ENGINES as f64)
+    }
+
     /// Takes it. What has been permitted is taken, whatever is left.
     pub fn take(&mut self, claim: &Claim) -> Took {
         let rows = self.0.iter_mut().enumerate();
@@ -76,7 +84,7 @@
 }
 
 struct Row {
-    budget: Budget,
+    budget: Arc<Budget>,
     floor: u64,
     leave: u64,
     until: Duration,
@@ -109,7 +117,7 @@
     pub fn new(budgets: Vec<Budget>, places: u32, floor_after: Duration, now: Duration) -> Usage {
         let row = |budget: Budget| Row {
             floor: budget.floor(places),
-            budget,
+            budget: Arc::new(budget),
             leave: 0,
             until: Duration::ZERO,
             in_use: 0,
@@ -199,6 +207,10 @@
         let since = now.saturating_sub(self.told_at).max(Duration::from_millis(50));
         self.told_at = now;
         let needs = self.rows.iter_mut().map(|row| {
+            if row.budget.measure == Measure::Engines {
+                row.need = row.budget.whole;
+                return row.need;
+            }
             let wanted = match row.budget.measure.is_at_once() {
                 true => row.peak.saturating_add(row.missed),
                 false => by_second(row.taken.saturating_add(row.missed), since),
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -98,6 +98,8 @@
     /// When these were worked out, and whether anything has changed since.
     worked_out: Duration,
     stale: bool,
+    /// When credits last moved.
+    went_round: Duration,
     pub counts: Counts,
 }
 
@@ -119,6 +121,7 @@
             targets: vec![BTreeMap::new(); budgets.len()],
             worked_out: Duration::ZERO,
             stale: true,
+            went_round: Duration::ZERO,
             budgets,
             table,
             rng: WyRand::new_seed(seed),
@@ -314,9 +317,14 @@
         let now = self.clock.now();
         let known = self.targets.iter().all(|targets| targets.contains_key(&place));
         let soon = self.places.len() > FEW && now < self.worked_out + self.terms.lease / 64;
-        if known && (soon || !self.stale) {
+        // What is too little for all goes round by time, not by questions: slower than whoever has it asks.
+        let goes_round = now >= self.went_round + self.terms.lease / 2;
+        if known && !goes_round && (soon || !self.stale) {
             return;
         }
+        if goes_round {
+            self.went_round = now;
+        }
         (self.worked_out, self.stale) = (now, false);
         let terms = &self.terms;
         let entries = self.places.iter().filter_map(|(place, seat)| Some((*place, seat.entry.as_ref()?)));
@@ -330,7 +338,9 @@
                 there.iter().map(|(place, _)| credits.get(place).copied().unwrap_or(0)).collect();
             let parts = parts(budget.pool(terms.places), budget.quantum, &asks, &mut owed);
             let places = || there.iter().map(|(place, _)| *place);
-            self.credits[at] = places().zip(owed).collect();
+            if goes_round {
+                self.credits[at] = places().zip(owed).collect();
+            }
             self.targets[at] = places().zip(parts).collect();
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -71,9 +71,14 @@
         span * (100 + drift) / (100 - drift) + UNSEEN
     }
 
+    /// How long a send that was decided in time may take to its engine.
+    pub fn on_its_way(&self) -> Duration {
+        self.lease / 4
+    }
+
     /// How long after the last word of a holder what it had may still be in use.
     pub fn until_free(&self) -> Duration {
-        self.longer(self.lease + self.run_out)
+        self.longer(self.lease + self.on_its_way() + self.run_out)
     }
 
     /// How long what a killed process had running may go on.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -88,6 +88,7 @@
     /// Messages that say nothing to us.
     passed_over: u64,
     leaving: bool,
+    ticked: Duration,
 }
 
 impl Node {
@@ -97,16 +98,32 @@
         let seat =
             start.seat.map(|own| Seat::start(own, start.incarnation, terms.clone(), start.seed ^ 1, now));
         let holder = Holder::start(terms, start.table, start.seed ^ 2, now);
-        Node { start, usage, holder, seat, keeper: None, said: 0, keepers: 0, passed_over: 0, leaving: false }
+        Node {
+            start,
+            usage,
+            holder,
+            seat,
+            keeper: None,
+            said: 0,
+            keepers: 0,
+            passed_over: 0,
+            leaving: false,
+            ticked: now,
+        }
     }
 
     /// When it wants to be called again.
     pub fn due(&self, now: Duration) -> Duration {
-        let own = self.holder.due().max(now + Duration::from_millis(1)).min(now + EVERY);
+        if now < self.ticked {
+            return now;
+        }
+        // From its last tick, not from now: however often it is asked, it must not be put off.
+        let own = self.holder.due().max(now + Duration::from_millis(1)).min(self.ticked + EVERY);
         self.usage.due(now).map_or(own, |due| due.min(own))
     }
 
     pub fn tick(&mut self, now: Duration) -> Vec<Effect> {
+        self.ticked = now;
         let mut effects = Vec::new();
         if let Some(seat) = &mut self.seat {
             let say = seat.tick(now);
@@ -276,6 +293,20 @@
         self.usage.took(now, took);
     }
 
+    /// What is decided now may be sent until then, whatever this process sleeps through: what it may have in use is counted
+    /// for longer than the leave lasts, by more than that.
+    pub fn sends_until(&self, now: Duration) -> Option<Duration> {
+        (!self.start.budgets.is_empty()).then(|| now + self.start.terms.on_its_way())
+    }
+
+    pub fn place(&self) -> u32 {
+        self.start.place
+    }
+
+    pub fn incarnation(&self) -> Incarnation {
+        self.start.incarnation
+    }
+
     /// `unheard`: it may go on at its engine for as long as engines do.
     pub fn ended(&mut self, now: Duration, took: Took, unheard: bool) {
         self.usage.ended(now, took, unheard.then(|| self.start.terms.ghost()));
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::{config, operators, Gateway};
+use crate::{config, operators, view, Gateway, Ports};
 use clap::{Parser, Subcommand};
 use signal_hook::consts::SIGHUP;
 use slog::{Drain as _, Logger};
@@ -35,6 +35,8 @@
         #[arg(long, value_name = "FILE")]
         settings: Option<PathBuf>,
     },
+    /// What a gateway knows of its fleet, from the status that it writes.
+    Fleet(view::Fleet),
     /// Prints the version.
     Version,
 }
@@ -42,7 +44,8 @@
 /// Runs the program: 0 where it did what it was told, 1 where it could not, 2 for a bad command line.
 pub fn run() -> ExitCode {
     let done = match Line::parse().command {
-        Command::Serve { config, settings } => serve(config, settings),
+        Command::Serve { config, settings } => serve(config, settings, Ports::default()),
+        Command::Fleet(args) => view::show(&args).map(|text| println!("{text}")),
         Command::CheckConfig { config: None, settings: Some(settings) }
             if std::env::var_os("EDGE_CONFIG").is_none() =>
         {
@@ -77,7 +80,8 @@
     Logger::root(drain, slog::o!())
 }
 
-fn serve(path: Option<PathBuf>, settings: Option<PathBuf>) -> Result<(), String> {
+/// Serves until it is told to end.
+pub fn serve(path: Option<PathBuf>, settings: Option<PathBuf>, ports: Ports) -> Result<(), String> {
     // Before all else: a SIGHUP that comes before the gateway serves must not end it, nor get lost.
     let hung_up = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGHUP, hung_up.clone()).map_err(|e| format!("signals: {e}"))?;
@@ -88,7 +92,7 @@
         let heard = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
         let (mut term, mut interrupt) = (heard(SignalKind::terminate())?, heard(SignalKind::interrupt())?);
         let mut hangup = heard(SignalKind::hangup())?;
-        let gateway = Gateway::start(start, log.clone()).await.map_err(|e| e.to_string())?;
+        let gateway = Gateway::start_with(start, log.clone(), ports).await.map_err(|e| e.to_string())?;
         let reload = || match config::load(path.clone(), settings.as_deref()) {
             Ok(start) => gateway.reload(start),
             Err(message) => slog::error!(log, "configuration not reloaded: {}", message),
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! The one place where the configuration is read, checked and given defaults. Each message names the key.
 
 use crate::names::{known, Known};
-use crate::operators::{self, Operators, ORDINARY};
+use crate::operators::{self, FleetTerms, Operators, ORDINARY};
 use bramblewharf::interface::Site;
 use bramblewharf_site::Names;
 use serde_json::Value;
@@ -55,6 +55,8 @@
     pub at_start: AtStart,
     /// What the operators say themselves.
     pub operators: Operators,
+    /// The fleet it is in, where the operators say so.
+    pub fleet: Option<FleetTerms>,
 }
 
 /// What takes effect at a start only; the rest of the file does so at a reload too.
@@ -97,6 +99,8 @@
 /// Where the settings do not say.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 const ENGINE_IDLE: Duration = Duration::from_secs(15);
+/// Where no workload says how long its clients wait.
+const LONGEST_STATEMENT: Duration = Duration::from_secs(60);
 /// The longest time that a gateway is given to close in.
 const LONGEST_LEAVE: Duration = Duration::from_secs(3);
 
@@ -192,6 +196,15 @@
     for (at, row) in settings.get("profiles").and_then(Value::as_array).into_iter().flatten().enumerate() {
         longest.push(span(row, "deadlineUs", &format!("settings.profiles[{at}]"))?);
     }
+    let kinds: Vec<String> = site.kinds.iter().map(|kind| kind.name.to_string()).collect();
+    let fleet = operators.fleet_terms(&operators::Known {
+        workloads: &words.workloads,
+        customers: &words.customers,
+        kinds: &kinds,
+        number: site.gateway,
+        longest: longest.iter().flatten().max().copied().unwrap_or(LONGEST_STATEMENT),
+        seed,
+    })?;
     let known = match value.get("known") {
         None | Some(Value::Null) => Known { no: 0, list: Vec::new() },
         Some(value) => known(value)?,
@@ -216,6 +229,7 @@
         site,
         words,
         operators,
+        fleet,
     })
 }
 
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -39,6 +39,7 @@
 const TRIES: usize = 5;
 
 const NOTHING: Text = Text::Whole(Bytes::new());
+const ALWAYS: fn() -> bool = || true;
 
 pub struct Engines {
     lines: Rc<Lines>,
@@ -139,6 +140,8 @@
     pub parcel: &'a Parcel,
     pub mem_mb: f64,
     pub timeout: Duration,
+    /// Whether its leave still lasts, as the clock shows it right before the first byte goes out.
+    pub may: &'a dyn Fn() -> bool,
 }
 
 impl Engines {
@@ -284,7 +287,8 @@
     /// Gives an execution up. The engine that cannot be told ends it by itself, as no one asks for it.
     pub async fn stop(&self, address: SocketAddr, id: &str) {
         let uri = format!("http://{address}/x/{id}");
-        self.call(&mut Way::to(address), |client| client.delete(&uri), &NOTHING, UNANSWERED).await;
+        let delete = |client: &Client| client.delete(&uri);
+        self.call(&mut Way::to(address), delete, &NOTHING, UNANSWERED, &ALWAYS).await;
     }
 
     async fn post(&self, way: &mut Way, job: &Job<'_>) -> Call {
@@ -304,13 +308,13 @@
             }
             request
         };
-        self.call(way, request, &parcel.text, UNANSWERED).await
+        self.call(way, request, &parcel.text, UNANSWERED, job.may).await
     }
 
     /// The news of an execution, or a further page of its result.
     async fn get(&self, way: &mut Way, id: &str, page: usize, within: Duration) -> Call {
         let uri = format!("http://{}/x/{id}/{page}", way.address);
-        self.call(way, |client| client.get(&uri), &NOTHING, within).await
+        self.call(way, |client| client.get(&uri), &NOTHING, within, &ALWAYS).await
     }
 
     /// Asks for the end of a statement whose own answer takes long, and returns with that alone: as long as the statement may
@@ -373,12 +377,17 @@
         request: impl Fn(&Client) -> ClientRequest,
         text: &Text,
         within: Duration,
+        may: &dyn Fn() -> bool,
     ) -> Call {
         for _ in 0..2 {
             let line = match self.connect(way).await {
                 Ok(line) => line,
                 Err(call) => return call,
             };
+            // Guards against a pause of this process between the decision and the socket.
+            if !may() {
+                return Call::NoRoom;
+            }
             line.ask();
             let request = request(&way.client).no_decompress();
             let reply = match text {
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,226 @@
+//! The fleet's datagrams, the status that others may read, and the facts for checkers: adapters, which decide nothing.
+
+use crate::operators::FleetTerms;
+use bramblewharf_budgets::usage::units;
+use bramblewharf_fleet::keeper::Standing;
+use bramblewharf_fleet::node::{Node, Status, To};
+use bramblewharf_fleet::wire::LONGEST;
+use bramblewharf_fleet::{Envelope, Key};
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+
+/// Bytes that are sent in a second at most; what is beyond is lost, as any datagram may be, and counted.
+const MOST_A_SECOND: u64 = 1 << 20;
+
+pub struct Link {
+    socket: UdpSocket,
+    key: Key,
+    fleet: u64,
+    seats: Vec<SocketAddr>,
+    /// Bytes sent since, and what went beyond the bound.
+    sent: Cell<(Option<Instant>, u64)>,
+    pub held_back: Cell<u64>,
+    /// Datagrams too long, of other keys or fleets, or not readable.
+    pub passed_over: Cell<u64>,
+    facts: Option<RefCell<Facts>>,
+    status: Option<SyncSender<String>>,
+}
+
+impl Link {
+    pub async fn bind(terms: &FleetTerms) -> io::Result<Link> {
+        let socket = UdpSocket::bind(terms.listen).await?;
+        let facts = terms.facts.as_deref().map(Facts::open).transpose()?.map(RefCell::new);
+        let status = terms.status.clone().map(writer).transpose()?;
+        Ok(Link {
+            socket,
+            key: terms.key.clone(),
+            fleet: terms.start.terms.fleet,
+            seats: terms.seats.clone(),
+            sent: Cell::new((None, 0)),
+            held_back: Cell::new(0),
+            passed_over: Cell::new(0),
+            facts,
+            status,
+        })
+    }
+
+    /// Sends at once or not at all: whatever is said is said again until it is answered.
+    pub fn say(&self, to: &To, envelope: &Envelope) {
+        let address = match to {
+            To::Seat(seat) => self.seats.get(usize::from(*seat)).copied(),
+            To::Address(address) => Some(*address),
+        };
+        let (Some(address), Some(bytes)) = (address, envelope.write(&self.key)) else { return };
+        let (since, sent) = self.sent.get();
+        let (since, sent) = match since.filter(|since| since.elapsed() < Duration::from_secs(1)) {
+            Some(since) => (since, sent),
+            None => (Instant::now(), 0),
+        };
+        if sent + bytes.len() as u64 > MOST_A_SECOND {
+            self.held_back.set(self.held_back.get() + 1);
+            return;
+        }
+        self.sent.set((Some(since), sent + bytes.len() as u64));
+        let _ = self.socket.try_send_to(&bytes, address);
+    }
+
+    pub async fn hear(&self) -> (Envelope, SocketAddr) {
+        let mut bytes = [0; LONGEST + 1];
+        loop {
+            match self.socket.recv_from(&mut bytes).await {
+                Ok((length, from)) => match Envelope::read(&bytes[..length], &self.key, self.fleet) {
+                    Some(envelope) => return (envelope, from),
+                    None => self.passed_over.set(self.passed_over.get() + 1),
+                },
+                // A peer that is down makes its errors ours; none of them is worth a busy loop.
+                Err(_) => actix_rt::time::sleep(Duration::from_millis(1)).await,
+            }
+        }
+    }
+
+    /// Notes what the gateway has now, where that is asked for and has changed.
+    pub fn note(&self, now: Duration, node: &mut Node) {
+        if let Some(facts) = &self.facts {
+            facts.borrow_mut().note(now, node);
+        }
+    }
+
+    pub fn wants_status(&self) -> bool {
+        self.status.is_some()
+    }
+
+    /// One that can't be written now is dropped: the next says more.
+    pub fn write_status(&self, now: Duration, status: &Status) {
+        if let Some(writer) = &self.status {
+            let _ = writer.try_send(shown(now, status, self).to_string());
+        }
+    }
+}
+
+/// The thread that writes the status, whole or not at all; it ends with the gateway.
+fn writer(path: PathBuf) -> io::Result<SyncSender<String>> {
+    let (sender, receiver) = sync_channel::<String>(1);
+    std::thread::Builder::new().name("status".into()).spawn(move || {
+        while let Ok(text) = receiver.recv() {
+            let _ = replace(&path, &text);
+        }
+    })?;
+    Ok(sender)
+}
+
+fn replace(path: &Path, text: &str) -> io::Result<()> {
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let mut file = tempfile::NamedTempFile::new_in(folder)?;
+    file.write_all(text.as_bytes())?;
+    file.persist(path)?;
+    Ok(())
+}
+
+/// What the gateway had leave for, a line whenever that changes, written before anything is done by it. The time is that of the
+/// machine's monotonic clock, one for all its processes, so that the lines of many can be merged.
+struct Facts {
+    file: File,
+    last: Vec<(u64, u64, u64, Duration)>,
+    kept: bool,
+}
+
+impl Facts {
+    fn open(path: &Path) -> io::Result<Facts> {
+        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        Ok(Facts { file, last: Vec::new(), kept: false })
+    }
+
+    fn note(&mut self, now: Duration, node: &mut Node) {
+        let at = machine_time();
+        let figures = node.figures(now);
+        let mut text = String::new();
+        let rows: Vec<_> = figures
+            .iter()
+            .map(|f| {
+                let until = if f.leave > 0 { f.until } else { Duration::ZERO };
+                (f.floor, f.leave, f.in_use, until)
+            })
+            .collect();
+        for (number, (f, row)) in figures.iter().zip(&rows).enumerate() {
+            if self.last.get(number) != Some(row) {
+                let ends = at + f.until.saturating_sub(now);
+                let fact = json!({"at_us": at.as_micros() as u64, "place": node.place(),
+                    "incarnation": format!("{:x}", node.incarnation().0), "budget": f.budget, "whole": f.whole,
+                    "floor": f.floor, "leave": f.leave, "in_use": f.in_use, "until_us": ends.as_micros() as u64});
+                text += &format!("{fact}\n");
+            }
+        }
+        self.last = rows;
+        let keeps = node.keeps(now);
+        if keeps != self.kept {
+            self.kept = keeps;
+            text += &format!(
+                "{}\n",
+                json!({"at_us": at.as_micros() as u64, "place": node.place(), "keeps": keeps})
+            );
+        }
+        if !text.is_empty() {
+            let _ = self.file.write_all(text.as_bytes());
+        }
+    }
+}
+
+/// The machine's clock that counts on while it sleeps.
+pub fn machine_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+fn shown(now: Duration, status: &Status, link: &Link) -> Value {
+    let budgets: Vec<Value> = status
+        .budgets
+        .iter()
+        .map(|f| {
+            json!({"budget": f.budget, "whole": units(f.whole), "floor": units(f.floor), "leave": units(f.leave),
+                "in_use": units(f.in_use), "need": units(f.need),
+                "leave_ends_in_ms": f.until.saturating_sub(now).as_millis() as u64})
+        })
+        .collect();
+    let names: Vec<&String> = status.budgets.iter().map(|f| &f.budget).collect();
+    let keeper = status.keeper.as_ref().map(|keeper| {
+        let members: Vec<Value> = keeper
+            .members
+            .iter()
+            .map(|m| {
+                let standing = match m.standing {
+                    Standing::In => "in",
+                    Standing::InDoubt => "in doubt",
+                    Standing::Gone => "gone",
+                    Standing::Left => "left",
+                };
+                json!({"place": m.place, "incarnation": format!("{:016x}", m.incarnation.0), "standing": standing,
+                    "silent_ms": m.silent.as_millis() as u64,
+                    "given": m.given.iter().map(|n| units(*n)).collect::<Vec<_>>(),
+                    "needs": m.needs.iter().map(|n| units(*n)).collect::<Vec<_>>()})
+            })
+            .collect();
+        let totals = keeper.totals.iter().zip(&names);
+        let totals = totals.map(|((given, gone), name)| {
+            json!({"budget": name, "given": units(*given), "of_gone": units(*gone)})
+        });
+        json!({"waits_out": keeper.waits_out, "members": members, "totals": totals.collect::<Vec<_>>(),
+            "given": keeper.counts.given, "old": keeper.counts.old, "differs": keeper.counts.differs,
+            "too_much": keeper.counts.too_much})
+    });
+    let seat = status.seat.as_ref().map(
+        |seat| json!({"seat": seat.seat, "votes": seat.votes, "keeper": seat.keeper, "bids": seat.bids}),
+    );
+    json!({"place": status.place, "incarnation": format!("{:016x}", status.incarnation.0),
+        "asks_seat": status.asks, "has_leave": status.has_leave, "members": status.members,
+        "asked": status.holder.asked, "given": status.holder.given, "unanswered": status.holder.unanswered,
+        "late": status.holder.late, "differs": status.holder.differs,
+        "passed_over": status.passed_over + link.passed_over.get(), "held_back": link.held_back.get(),
+        "budgets": budgets, "seat": seat, "keeper": keeper})
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod engines;
 mod exchange;
+mod fleet;
 mod front;
 mod intake;
 pub mod invariants;
@@ -17,5 +18,7 @@
 mod sessions;
 pub mod tables;
 mod upload;
+mod view;
 
-pub use runtime::Gateway;
+pub use fleet::machine_time;
+pub use runtime::{Gateway, Ports, Ticks};
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -2,12 +2,18 @@
 //! line and the rule. What the platform states is in the configuration (`config`), not here.
 
 use bramblewharf_bodies as bodies;
+use bramblewharf_budgets as budgets;
+use bramblewharf_budgets::{grains, Measure, Scope, GRAIN};
+use bramblewharf_fleet::wire::{digest, fleet_of};
+use bramblewharf_fleet::{node, Incarnation, Key, Terms};
 use bytesize::ByteSize;
 use hcl::edit::structure::{Body, Structure};
 use hcl::edit::Span as _;
 use serde::Deserialize;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// What every statement may have, in bytes: a text up to this goes the ordinary path.
 pub const ORDINARY: u64 = 64 * 1024;
@@ -20,6 +26,195 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Operators {
     pub bodies: Bodies,
+    pub fleet: Option<Fleet>,
+    /// Budgets of the whole fleet, by name.
+    pub budget: BTreeMap<String, Budget>,
+}
+
+/// The fleet that this gateway is in. Spans are texts such as `"2s"`.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    pub name: String,
+    /// What every gateway of the fleet has, and nobody else: 16 bytes or more.
+    pub key_file: PathBuf,
+    /// Where other parts of the fleet find this one, by UDP.
+    pub listen: SocketAddr,
+    /// How many gateways there can be, and which of them this one is: without it, its number in the configuration.
+    pub places: u32,
+    pub place: Option<u32>,
+    /// Where the seats listen, in the order of their numbers, and which this gateway has, if any.
+    pub seats: Vec<SocketAddr>,
+    pub seat: Option<u8>,
+    #[serde(with = "humantime_serde", default = "default_lease")]
+    pub lease: Duration,
+    /// By how many percent clocks may run fast or slow.
+    #[serde(default = "default_drift")]
+    pub drift_percent: u32,
+    /// How long engines go on with what nobody asks for.
+    #[serde(with = "humantime_serde", default = "default_keep")]
+    pub engines_keep: Duration,
+    /// What this gateway lends of engines goes by how many gateways are in, not by the configured number.
+    #[serde(default)]
+    pub engines_by_members: bool,
+    /// A file that says how things stand, and one that notes every change of what is had.
+    pub status: Option<PathBuf>,
+    pub facts: Option<PathBuf>,
+}
+
+/// One budget: what it is on, what is counted, how much there is.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    pub customer: Option<String>,
+    pub workload: Option<String>,
+    pub kind: Option<String>,
+    /// Only executions after a statement's first.
+    #[serde(default)]
+    pub further: bool,
+    pub at_once: Option<Counted>,
+    pub per_second: Option<Counted>,
+    pub whole: f64,
+    /// Percent of the whole that is divided evenly for ever.
+    #[serde(default = "default_floor")]
+    pub floor_percent: u64,
+    /// For budgets by the second: how long unused leave is saved up.
+    #[serde(with = "humantime_serde", default = "default_burst")]
+    pub burst: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Counted {
+    Statements,
+    Weight,
+    Memory,
+}
+
+fn default_lease() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn default_drift() -> u32 {
+    1
+}
+
+fn default_keep() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn default_floor() -> u64 {
+    20
+}
+
+fn default_burst() -> Duration {
+    Duration::from_secs(1)
+}
+
+/// What a gateway in a fleet is started with.
+#[derive(Clone)]
+pub struct FleetTerms {
+    pub start: node::Start,
+    pub key: Key,
+    pub listen: SocketAddr,
+    pub seats: Vec<SocketAddr>,
+    pub status: Option<PathBuf>,
+    pub facts: Option<PathBuf>,
+}
+
+/// What names in budgets stand for, and what else the configuration says.
+pub struct Known<'a> {
+    pub workloads: &'a [String],
+    pub customers: &'a [String],
+    pub kinds: &'a [String],
+    pub number: u32,
+    /// The longest that a statement may take.
+    pub longest: Duration,
+    pub seed: u64,
+}
+
+impl Operators {
+    /// The fleet's terms, where there is one. Messages begin with the key.
+    pub fn fleet_terms(&self, known: &Known) -> Result<Option<FleetTerms>, String> {
+        let Some(fleet) = &self.fleet else { return Ok(None) };
+        let shown = fleet.key_file.display();
+        let key = std::fs::read(&fleet.key_file).map_err(|e| format!("fleet.key_file: {shown}: {e}"))?;
+        let key = Key::read(&key).ok_or_else(|| format!("fleet.key_file: {shown}: is under 16 bytes"))?;
+        let place = fleet.place.unwrap_or(known.number);
+        if place >= fleet.places {
+            return Err(format!("fleet.place: {place} is none of the {} of fleet.places", fleet.places));
+        }
+        let named = |key: &str, name: &Option<String>, names: &[String]| match name {
+            None => Ok(None),
+            Some(name) => match names.iter().position(|other| other == name) {
+                Some(at) => Ok(Some(at)),
+                None => Err(format!("{key}: {name} is not in the configuration")),
+            },
+        };
+        let mut all = Vec::new();
+        for (name, budget) in &self.budget {
+            let key = |part: &str| format!("budget.{name}.{part}");
+            let scope = Scope {
+                workload: named(&key("workload"), &budget.workload, known.workloads)?,
+                customer: named(&key("customer"), &budget.customer, known.customers)?,
+                kind: named(&key("kind"), &budget.kind, known.kinds)?.map(|at| known.kinds[at].clone()),
+                further: budget.further,
+            };
+            all.push(budget.read(name.clone(), scope));
+        }
+        if fleet.engines_by_members {
+            all.push(budgets::Budget::engines());
+        }
+        // Alike at all gateways or not: which place or seat this one has is its own.
+        let alike = format!("{:?}", (&fleet.name, fleet.places, fleet.seats.len(), fleet.lease, &all));
+        let terms = Terms {
+            fleet: fleet_of(&fleet.name),
+            places: fleet.places,
+            seats: fleet.seats.len() as u8,
+            lease: fleet.lease,
+            drift_percent: fleet.drift_percent,
+            run_out: known.longest + fleet.engines_keep,
+            engines_keep: fleet.engines_keep,
+            wrong: None,
+        };
+        let start = node::Start {
+            place,
+            seat: fleet.seat,
+            // New with every start, also where the seed is not: chance from the system's own hash keys.
+            incarnation: Incarnation(new_number()),
+            terms,
+            budgets: all,
+            table: digest(&alike),
+            seed: known.seed ^ new_number(),
+        };
+        Ok(Some(FleetTerms {
+            start,
+            key,
+            listen: fleet.listen,
+            seats: fleet.seats.clone(),
+            status: fleet.status.clone(),
+            facts: fleet.facts.clone(),
+        }))
+    }
+}
+
+fn new_number() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::hash::RandomState::new().build_hasher().finish()
+}
+
+impl Budget {
+    fn read(&self, name: String, scope: Scope) -> budgets::Budget {
+        let (measure, quantum) = match (self.at_once, self.per_second) {
+            (Some(Counted::Weight), _) => (Measure::WeightAtOnce, GRAIN),
+            (Some(Counted::Memory), _) => (Measure::MemoryAtOnce, 16 * GRAIN),
+            (Some(Counted::Statements), _) | (None, None) => (Measure::StatementsAtOnce, GRAIN),
+            (None, Some(Counted::Weight)) => (Measure::WeightPerSecond, GRAIN),
+            (None, Some(_)) => (Measure::StatementsPerSecond, GRAIN),
+        };
+        let (whole, floor_percent, burst) = (grains(self.whole), self.floor_percent, self.burst);
+        budgets::Budget { name, scope, measure, whole, floor_percent, quantum, burst }
+    }
 }
 
 /// Texts beyond the ordinary 64 KiB. Sizes are texts such as `"16 MiB"`.
@@ -224,6 +419,7 @@
         let fits = !files.in_memory || files.pool <= memory.pool;
         must(fits, "files.pool", "is more than bodies.memory.pool, and these files are in memory")?;
     }
+    check_fleet(operators)?;
     for name in bodies.workload.keys() {
         let known = workloads.is_none_or(|workloads| workloads.contains(name));
         must(known, &format!("workload.{name}"), "is no workload of the configuration")?;
@@ -231,6 +427,52 @@
     Ok(())
 }
 
+/// The most budgets that one datagram has room for, and the most places and seats.
+const MOST_BUDGETS: usize = 16;
+const MOST_PLACES: u32 = 10_000;
+const MOST_SEATS: usize = 7;
+
+fn check_fleet(operators: &Operators) -> Result<(), Broken> {
+    let must = |holds: bool, key: String, why: &str| if holds { Ok(()) } else { Err((key, why.to_string())) };
+    let Some(fleet) = &operators.fleet else {
+        let name = operators.budget.keys().next();
+        return name.map_or(Ok(()), |name| must(false, format!("budget.{name}"), "needs a fleet block"));
+    };
+    let of = |key: &str| format!("fleet.{key}");
+    must((1..=MOST_PLACES).contains(&fleet.places), of("places"), "is not a number from 1 to 10000")?;
+    must(fleet.place.is_none_or(|place| place < fleet.places), of("place"), "is none of fleet.places")?;
+    let seats = fleet.seats.len();
+    must(seats % 2 == 1 && seats <= MOST_SEATS, of("seats"), "are not 1, 3, 5 or 7 addresses")?;
+    let apart = fleet.seats.iter().enumerate().all(|(at, seat)| !fleet.seats[..at].contains(seat));
+    must(apart, of("seats"), "names an address twice")?;
+    must(fleet.seat.is_none_or(|seat| usize::from(seat) < seats), of("seat"), "is none of fleet.seats")?;
+    let lease = fleet.lease;
+    let span = (Duration::from_secs(1)..=Duration::from_secs(60)).contains(&lease);
+    must(span, of("lease"), "is not a span from 1s to 60s")?;
+    must((1..=10).contains(&fleet.drift_percent), of("drift_percent"), "is not a number from 1 to 10")?;
+    let keep = fleet.engines_keep <= Duration::from_secs(600);
+    must(keep, of("engines_keep"), "is over 600s")?;
+    must(
+        !operators.budget.contains_key("engines"),
+        "budget.engines".into(),
+        "is a name of fleet.engines_by_members",
+    )?;
+    must(operators.budget.len() < MOST_BUDGETS, "budget".into(), "is there more than 15 times")?;
+    for (name, budget) in &operators.budget {
+        let of = |key: &str| format!("budget.{name}.{key}");
+        let one = budget.at_once.is_some() != budget.per_second.is_some();
+        must(one, of("at_once"), "and per_second: exactly one of them says what is counted")?;
+        let held = budget.per_second != Some(Counted::Memory);
+        must(held, of("per_second"), "memory is held, not spent: it is counted at_once")?;
+        let whole = budget.whole.is_finite() && (0.0..=1e9).contains(&budget.whole);
+        must(whole, of("whole"), "is not a number from 0 to 1000000000")?;
+        must(budget.floor_percent <= 100, of("floor_percent"), "is over 100")?;
+        let burst = (Duration::from_secs(1)..=Duration::from_secs(60)).contains(&budget.burst);
+        must(burst, of("burst"), "is not a span from 1s to 60s")?;
+    }
+    Ok(())
+}
+
 /// The line on which a key stands, or what it would stand in; 1 where neither is there.
 fn line_of(body: &Body, text: &str, key: &str) -> usize {
     let mut found = 0;
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -5,6 +5,9 @@
 use bramblewharf::choice::Chooser;
 use bramblewharf::interface::*;
 use bramblewharf_bodies::Body;
+use bramblewharf_budgets::Claim;
+use bramblewharf_fleet::node::{self, Node};
+use bramblewharf_fleet::Envelope;
 use bramblewharf_site::message;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -71,6 +74,10 @@
     Engines(ListKind, Vec<Listed>),
     /// What another gateway told.
     Told(Event),
+    /// What another part of the fleet said, and from where.
+    Fleet(Envelope, SocketAddr),
+    /// The gateway leaves the fleet: nothing more of it comes.
+    Depart,
     /// Something may be due.
     Wake,
     /// The gateway closes: what is still unanswered is aborted.
@@ -124,6 +131,8 @@
         parcel: Rc<Parcel>,
         mem_mb: f64,
         timeout: Duration,
+        /// After this, as the clock shows it where it is sent, the leave for it is over.
+        not_after: Option<Duration>,
     },
     /// Nothing more is wanted of an execution: the engine is told, and no one listens any longer.
     Stop {
@@ -136,6 +145,11 @@
         to: Option<u32>,
         message: String,
     },
+    /// To another part of the fleet.
+    Say {
+        to: node::To,
+        envelope: Envelope,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -157,12 +171,18 @@
     out: Option<DueAt>,
     /// The outcome it will have once its engine has been told.
     stopping: Option<Outcome>,
+    /// What it takes of the fleet's budgets.
+    took: Took,
 }
 
 struct Stmt {
     caller: u64,
     parcel: Rc<Parcel>,
     mem_mb: f64,
+    /// As budgets see it: workload, customer and memory (MB).
+    counts_as: (usize, Option<usize>, f64),
+    /// What its next execution takes of them.
+    takes: Took,
     /// None once it has its answer.
     open: Option<DueAt>,
     executions: Vec<Execution>,
@@ -206,6 +226,12 @@
     silent: bool,
     due: BTreeMap<DueAt, Due>,
     dues: u64,
+    /// This gateway's part in its fleet, where it has one; whether what is left of its budgets is not yet told.
+    fleet: Option<Box<Node>>,
+    room_changed: bool,
+    room_due: Option<Duration>,
+    fleet_due: Option<Duration>,
+    threads: Vec<f64>,
     /// What the decisions have yet to hear of.
     news: VecDeque<Event>,
     effects: Vec<Effect>,
@@ -218,6 +244,18 @@
 impl Reducer {
     /// `most`: the statements that may be held at once.
     pub fn start(site: Site, seed: u64, most: usize, now: Duration) -> (Reducer, Vec<Effect>) {
+        Reducer::start_in(None, site, seed, most, now)
+    }
+
+    /// In a fleet whose budgets it has a part of.
+    pub fn start_in(
+        fleet: Option<node::Start>,
+        site: Site,
+        seed: u64,
+        most: usize,
+        now: Duration,
+    ) -> (Reducer, Vec<Effect>) {
+        let threads = site.workloads.iter().map(|terms| terms.threads).collect();
         let (one_at_a_time, tick) = (!site.second_copies, site.tick);
         let (chooser, actions) = Chooser::start(site, seed, now);
         let mut reducer = Reducer {
@@ -231,6 +269,11 @@
             silent: false,
             due: BTreeMap::new(),
             dues: 0,
+            room_changed: fleet.is_some(),
+            room_due: None,
+            fleet_due: None,
+            fleet: fleet.map(|start| Box::new(Node::start(start, now))),
+            threads,
             news: VecDeque::new(),
             effects: Vec::new(),
             ill: BTreeMap::new(),
@@ -244,6 +287,8 @@
     }
 
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
+        // First of all: whatever comes is decided by the leave as it is now.
+        self.look_at_fleet(now);
         match input {
             Input::Statement(taken) => self.take(now, taken),
             Input::Left(id) => self.left(&id),
@@ -261,6 +306,14 @@
             }
             Input::Engines(kind, list) => self.list(kind, list),
             Input::Told(event) => self.news.push_back(event),
+            Input::Fleet(envelope, from) => {
+                let said = self.fleet.as_mut().map(|node| node.heard(now, envelope, from));
+                self.carry_on(now, said.unwrap_or_default());
+            }
+            Input::Depart => {
+                let said = self.fleet.as_mut().map(|node| node.leave(now));
+                self.carry_on(now, said.unwrap_or_default());
+            }
             Input::Wake => {}
             Input::Close => self.close(),
         }
@@ -277,7 +330,44 @@
 
     /// When the next `Wake` is wanted.
     pub fn due(&self) -> Option<Duration> {
-        self.due.first_key_value().map(|(at, _)| at.0)
+        let own = self.due.first_key_value().map(|(at, _)| at.0);
+        self.fleet_due.into_iter().chain(own).min()
+    }
+
+    /// Gives the fleet's machine its time, and the decisions what is left now where that has changed.
+    fn look_at_fleet(&mut self, now: Duration) {
+        let Some(node) = &mut self.fleet else { return };
+        if self.fleet_due.is_none_or(|due| now >= due) {
+            let said = node.tick(now);
+            self.carry_on(now, said);
+        }
+        self.tell_room(now);
+    }
+
+    fn carry_on(&mut self, now: Duration, effects: Vec<node::Effect>) {
+        for effect in effects {
+            match effect {
+                node::Effect::Say { to, envelope } => self.effects.push(Effect::Say { to, envelope }),
+                node::Effect::Room => self.room_changed = true,
+            }
+        }
+        self.tell_room(now);
+    }
+
+    fn tell_room(&mut self, now: Duration) {
+        let Some(node) = &mut self.fleet else { return };
+        if self.room_changed || self.room_due.is_some_and(|due| now >= due) {
+            self.room_changed = false;
+            // Before whatever else there is news of: nothing is decided by what was left before.
+            self.news.push_front(Event::Room(node.room(now)));
+            self.room_due = node.room_due(now);
+        }
+        self.fleet_due = Some(node.due(now));
+    }
+
+    /// This gateway's part in its fleet.
+    pub fn fleet(&mut self) -> Option<&mut Node> {
+        self.fleet.as_deref_mut()
     }
 
     /// Whether one more statement would be rejected at the bound: then its text need not come at all.
@@ -330,8 +420,15 @@
         self.open += 1;
         let open = self.set(now + said.time_left + GUARD, Due::Statement(said.id.clone()));
         said.time_left = said.time_left.saturating_sub(ON_ITS_WAY);
-        let stmt =
-            Stmt { caller, parcel: Rc::new(parcel), mem_mb: 0.0, open: Some(open), executions: Vec::new() };
+        let stmt = Stmt {
+            caller,
+            parcel: Rc::new(parcel),
+            mem_mb: 0.0,
+            counts_as: (said.workload, said.customer, said.est_mem_mb.unwrap_or(0.0)),
+            takes: Took::new(),
+            open: Some(open),
+            executions: Vec::new(),
+        };
         self.stmts.insert(said.id.clone(), stmt);
         self.news.push_back(Event::Statement(said));
     }
@@ -391,8 +488,17 @@
         };
         self.due.remove(&at);
         let (engine, elapsed) = (x.engine.clone(), now.saturating_sub(x.sent));
+        let parts = std::mem::take(&mut x.took);
         let Ending { outcome, pages, took, report } = ending;
-        if outcome == Outcome::Completed && stmt.open.is_some() {
+        let open = stmt.open.is_some();
+        if let Some(node) = self.fleet.as_mut().filter(|_| !parts.is_empty()) {
+            // An engine that could not be told, or whose word is no ending, may go on with it.
+            let unheard = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Error);
+            node.ended(now, parts, unheard);
+            self.room_changed = true;
+            self.tell_room(now);
+        }
+        if outcome == Outcome::Completed && open {
             self.counts.completed += 1;
             self.answer(id, Answer::Completed(pages));
         }
@@ -500,12 +606,19 @@
                     stmt.mem_mb = mem_mb;
                 }
             }
+            Action::Takes { id, took } => {
+                if let (Some(stmt), Some(node)) = (self.stmts.get_mut(&id), &mut self.fleet) {
+                    node.took(now, &took);
+                    stmt.takes = took;
+                }
+            }
             Action::Cancel { id, execution } => {
                 self.counts.stopped += u64::from(self.out(&id, execution).is_some());
                 self.stop(now, &id, execution, Outcome::Cancelled);
             }
             Action::Reject { id, retry_in } => {
                 self.counts.rejected += 1;
+                self.was_refused(now, &id);
                 self.answer(&id, Answer::Rejected(retry_in));
             }
             Action::Abort { id } => {
@@ -527,6 +640,16 @@
         }
     }
 
+    /// What was rejected for want of leave is a need to be told.
+    fn was_refused(&mut self, now: Duration, id: &Id) {
+        let (Some(node), Some(stmt)) = (&mut self.fleet, self.stmts.get(id)) else { return };
+        let (workload, customer, mem_mb) = stmt.counts_as;
+        let weight = self.threads.get(workload).copied().unwrap_or(1.0);
+        let further = !stmt.executions.is_empty();
+        node.refused(now, &Claim { workload, customer, kind: "", weight, mem_mb, further });
+        self.fleet_due = Some(node.due(now));
+    }
+
     fn send(&mut self, now: Duration, id: Id, engine: Id, timeout: Duration) {
         let address = self.engines.get(&engine).map(|listed| listed.address);
         self.broken.check(Invariant::KnownEngine, address.is_some());
@@ -555,9 +678,20 @@
             sent: now,
             out: Some(at),
             stopping: None,
+            took: std::mem::take(&mut stmt.takes),
         });
         self.counts.executions += 1;
         let (parcel, mem_mb) = (stmt.parcel.clone(), stmt.mem_mb);
-        self.effects.push(Effect::Start { id, execution, engine, address, parcel, mem_mb, timeout });
+        let not_after = self.fleet.as_ref().and_then(|node| node.sends_until(now));
+        self.effects.push(Effect::Start {
+            id,
+            execution,
+            engine,
+            address,
+            parcel,
+            mem_mb,
+            timeout,
+            not_after,
+        });
     }
 }
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -2,9 +2,10 @@
 
 use crate::config::{self, AtStart, Bounds, Start};
 use crate::engines::{Engines, Job};
+use crate::fleet::{machine_time, Link};
 use crate::front::Front;
 use crate::names::{dial, Asker, Known, Word};
-use crate::operators::Bodies;
+use crate::operators::{self, Bodies};
 use crate::peers::Peers;
 use crate::reducer::{Answer, Effect, Input, Reducer, Text};
 use actix_rt::net::TcpListener;
@@ -40,27 +41,49 @@
 /// Time for the last answers to be written, and asked for where clients come back for them.
 const LAST_WORDS: Duration = Duration::from_millis(250);
 
-/// The Unix time as it was at the start, and one clock from then on, which no correction moves.
+/// A clock that counts on while the machine sleeps; or, in tests, one that is wrong on purpose.
+pub type Ticks = Rc<dyn Fn() -> Duration>;
+
+/// The Unix time as it was at the start, and one clock from then on, which no correction moves. In a fleet that clock counts on
+/// while the machine sleeps, so that no leave outlasts its end.
 struct Clock {
     at_start: Duration,
     start: Instant,
+    ticks: Option<(Ticks, Duration)>,
 }
 
 impl Clock {
-    fn new() -> Clock {
+    fn new(ticks: Option<Ticks>) -> Clock {
         let at_start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { at_start, start: Instant::now() }
+        let ticks = ticks.map(|ticks| (ticks.clone(), ticks()));
+        Clock { at_start, start: Instant::now(), ticks }
     }
 
     fn now(&self) -> Duration {
-        self.at_start + self.start.elapsed()
+        match &self.ticks {
+            // One that goes back shows it: whoever keeps leave has to see that.
+            Some((ticks, start)) => (self.at_start + ticks()).saturating_sub(*start),
+            None => self.at_start + self.start.elapsed(),
+        }
     }
 
     fn instant(&self, at: Duration) -> TimerInstant {
-        TimerInstant::from_std(self.start + at.saturating_sub(self.at_start))
+        match self.ticks {
+            Some(_) => TimerInstant::now() + at.saturating_sub(self.now()),
+            None => TimerInstant::from_std(self.start + at.saturating_sub(self.at_start)),
+        }
     }
 }
 
+/// What a gateway may be given beside its configuration.
+#[derive(Default)]
+pub struct Ports {
+    /// Files for bodies go here, instead of the folder that the operators name.
+    pub disk: Option<Arc<dyn Disk>>,
+    /// The clock of a gateway in a fleet.
+    pub ticks: Option<Ticks>,
+}
+
 /// Several reloads may come before the first is taken in: the last word on each counts.
 #[derive(Default)]
 struct Turn {
@@ -87,6 +110,7 @@
     pub log: Logger,
     engines: Engines,
     peers: Option<Peers>,
+    fleet: Option<Link>,
     names_passed_over: Rc<Cell<u64>>,
     callers: Cell<u64>,
     answers: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
@@ -129,6 +153,11 @@
         if sooner {
             self.due.notify_one();
         }
+        if let Some(link) = &self.fleet {
+            // Before anything is done by what it has now.
+            let (now, mut reducer) = (self.clock.now(), self.reducer.borrow_mut());
+            reducer.fleet().into_iter().for_each(|node| link.note(now, node));
+        }
         effects.into_iter().for_each(|effect| self.carry_out(effect));
     }
 
@@ -162,7 +191,7 @@
                     let _ = waits.send(answer);
                 }
             }
-            Effect::Start { id, execution, engine, address, parcel, mem_mb, timeout } => {
+            Effect::Start { id, execution, engine, address, parcel, mem_mb, timeout, not_after } => {
                 let core = self.clone();
                 let stopping = self.stopping.borrow_mut().remove(&(id.clone(), engine));
                 let key = (id.clone(), execution);
@@ -170,7 +199,8 @@
                     if let Some(stopping) = stopping {
                         let _ = timeout_after(STOP_WITHIN, stopping).await;
                     }
-                    let job = Job { address, parcel: &parcel, mem_mb, timeout };
+                    let may = || not_after.is_none_or(|end| core.clock.now() <= end);
+                    let job = Job { address, parcel: &parcel, mem_mb, timeout, may: &may };
                     let noted = |note| core.input(Input::Noted { id: id.clone(), execution, note });
                     let ending = core.engines.run(job, noted).await;
                     core.running.borrow_mut().remove(&(id.clone(), execution));
@@ -195,6 +225,11 @@
                 });
                 self.stopping.borrow_mut().insert(key, task);
             }
+            Effect::Say { to, envelope } => {
+                if let Some(link) = &self.fleet {
+                    link.say(&to, &envelope);
+                }
+            }
             Effect::Tell { to, message } => {
                 if let Some(peers) = &self.peers {
                     peers.tell(to, &message);
@@ -223,6 +258,21 @@
         }
     }
 
+    async fn hear_fleet(self: Rc<Self>) {
+        while let Some(link) = &self.fleet {
+            let (envelope, from) = link.hear().await;
+            self.input(Input::Fleet(envelope, from));
+        }
+    }
+
+    fn write_status(&self) {
+        let Some(link) = self.fleet.as_ref().filter(|link| link.wants_status()) else { return };
+        let now = self.clock.now();
+        if let Some(node) = self.reducer.borrow_mut().fleet() {
+            link.write_status(now, &node.status(now));
+        }
+    }
+
     async fn follow_list(self: Rc<Self>, mut asker: Asker) {
         loop {
             let word = tokio::select! {
@@ -276,6 +326,7 @@
     at_start: AtStart,
     bodies: Bodies,
     folder: Option<Arc<Folder>>,
+    fleet: (Option<operators::Fleet>, BTreeMap<String, operators::Budget>),
     /// The name service and other gateways, as last read.
     in_force: RefCell<(Option<SocketAddr>, Option<config::Peers>)>,
 }
@@ -288,6 +339,11 @@
 
     /// With files for bodies on that disk, where it is given, instead of the folder that the operators name.
     pub async fn start_on(start: Start, log: Logger, disk: Option<Arc<dyn Disk>>) -> io::Result<Gateway> {
+        Gateway::start_with(start, log, Ports { disk, ..Ports::default() }).await
+    }
+
+    pub async fn start_with(start: Start, log: Logger, ports: Ports) -> io::Result<Gateway> {
+        let Ports { disk, ticks } = ports;
         let named = |what: &str, address: &dyn std::fmt::Display, e: io::Error| {
             io::Error::new(e.kind(), format!("{what}: {address}: {e}"))
         };
@@ -301,10 +357,18 @@
                 Some(bound.map_err(|e| named("peer_listen", &at, e))?)
             }
         };
+        let fleet = match &start.fleet {
+            None => None,
+            Some(terms) => {
+                let link = Link::bind(terms).await;
+                Some(link.map_err(|e| named("fleet", &terms.listen, e))?)
+            }
+        };
         let names = start.names.map(|server| dial(server).map_err(|e| named("names", &server, e)));
         let asker = Asker::start(names.transpose()?, start.known.no, start.seed, log.clone())?;
         let in_force = RefCell::new((start.names, start.peers.clone()));
-        let clock = Clock::new();
+        let ticks = start.fleet.is_some().then(|| ticks.unwrap_or_else(|| Rc::new(machine_time)));
+        let clock = Clock::new(ticks);
         let engines =
             Engines::new(start.bounds.clone(), start.words.clone(), start.dial_timeout, start.engine_idle);
         let deduplicated = |w: &WorkloadTerms| matches!(w.effect, Repeat::Deduplicated(_));
@@ -312,7 +376,9 @@
         let (bodies, folder) = keeper(&start.operators.bodies, disk, &log)?;
         let strict = start.words.workloads.iter().map(|w| start.operators.bodies.is_strict(w)).collect();
         let (slowest, stay_away) = (start.operators.bodies.slowest.as_u64(), start.site.max_retry_after);
-        let (reducer, first) = Reducer::start(start.site, start.seed, start.bounds.stmts, clock.now());
+        let part = start.fleet.map(|terms| terms.start);
+        let (reducer, first) =
+            Reducer::start_in(part, start.site, start.seed, start.bounds.stmts, clock.now());
         let core = Rc::new(Core {
             reducer: RefCell::new(reducer),
             clock,
@@ -327,6 +393,7 @@
             log,
             engines,
             peers,
+            fleet,
             names_passed_over: asker.passed_over.clone(),
             callers: Cell::new(0),
             answers: RefCell::default(),
@@ -347,6 +414,9 @@
         let mut tasks =
             vec![actix_rt::spawn(core.clone().keep_time()), actix_rt::spawn(core.clone().hear_peers())];
         tasks.push(actix_rt::spawn(core.clone().follow_list(asker)));
+        if core.fleet.is_some() {
+            tasks.push(actix_rt::spawn(core.clone().hear_fleet()));
+        }
         let (accepting, log) = (front.clone().accept(listener, core.clone()), core.log.clone());
         tasks.push(actix_rt::spawn(async move {
             let Err(error) = accepting.await;
@@ -359,6 +429,7 @@
                 sleep(SWEEP).await;
                 swept.lines.sweep();
                 engines.engines.sweep();
+                engines.write_status();
                 if logged.elapsed() >= FIGURES {
                     logged = Instant::now();
                     engines.log_figures();
@@ -366,8 +437,8 @@
             }
         }));
         let (leave_within, at_start) = (start.leave_within, start.at_start);
-        let bodies = start.operators.bodies;
-        Ok(Gateway { core, front, tasks, address, leave_within, at_start, bodies, folder, in_force })
+        let (bodies, fleet) = (start.operators.bodies, (start.operators.fleet, start.operators.budget));
+        Ok(Gateway { core, front, tasks, address, leave_within, at_start, bodies, folder, fleet, in_force })
     }
 
     /// Takes over what can change while it serves, with no statement touched: the name service, other gateways'
@@ -394,6 +465,9 @@
         if self.bodies != *bodies && !self.bodies.is_alike(bodies) {
             waits.push("bodies");
         }
+        if self.fleet != (start.operators.fleet, start.operators.budget) {
+            waits.push("fleet");
+        }
         if let (Some(ours), Some(peers)) = (&self.core.peers, &start.peers) {
             ours.turn_to(peers.clone());
         }
@@ -436,6 +510,10 @@
         while self.front.sessions.owed() > 0 && closed.elapsed() < LAST_WORDS {
             sleep(LAST_WORDS / 20).await;
         }
+        // Said more than once, as it may be lost: else what this gateway had is free only once its leave has ended.
+        for _ in 0..3 {
+            self.core.input(Input::Depart);
+        }
         self.core.log_figures();
         slog::info!(self.core.log, "closed");
     }
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,88 @@
+//! `bramblewharf fleet`: shows the status that a gateway writes, as a table or as it is.
+
+use crate::operators;
+use clap::{Args, ValueEnum};
+use serde_json::Value;
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct Fleet {
+    /// What of it is shown.
+    #[arg(value_enum, default_value = "status")]
+    what: What,
+    /// The operators' settings of that gateway: they say where its status is.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// As JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum What {
+    Status,
+    Members,
+    Seats,
+    Budgets,
+}
+
+pub fn show(args: &Fleet) -> Result<String, String> {
+    let shown = args.settings.display();
+    let text =
+        std::fs::read_to_string(&args.settings).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
+    let operators = operators::read(&text, None).map_err(|e| format!("{shown}:{e}"))?;
+    let path = operators.fleet.and_then(|fleet| fleet.status);
+    let path =
+        path.ok_or_else(|| format!("{shown}: fleet.status: is missing: nothing says where the status is"))?;
+    let text = std::fs::read(&path).map_err(|e| format!("{}: cannot be read: {e}", path.display()))?;
+    let status: Value = serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let part = match args.what {
+        What::Status => &status,
+        What::Members => &status["keeper"]["members"],
+        What::Seats => &status["seat"],
+        What::Budgets => &status["budgets"],
+    };
+    if args.json {
+        return Ok(format!("{part:#}"));
+    }
+    Ok(match args.what {
+        What::Status => {
+            lines(&status, &["place", "incarnation", "asks_seat", "has_leave", "members", "passed_over"])
+        }
+        What::Members if part.is_null() => {
+            "this gateway does not keep the leave: ask the seat that does".into()
+        }
+        What::Members => table(part, &["place", "incarnation", "standing", "silent_ms", "given", "needs"]),
+        What::Seats if part.is_null() => "this gateway has no seat".into(),
+        What::Seats => lines(part, &["seat", "votes", "keeper", "bids"]),
+        What::Budgets => {
+            table(part, &["budget", "whole", "floor", "leave", "in_use", "need", "leave_ends_in_ms"])
+        }
+    })
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".into(),
+        Value::Array(list) => list.iter().map(plain).collect::<Vec<_>>().join(" "),
+        other => other.to_string(),
+    }
+}
+
+fn lines(of: &Value, keys: &[&str]) -> String {
+    keys.iter().map(|key| format!("{key:16} {}", plain(&of[*key]))).collect::<Vec<_>>().join("\n")
+}
+
+fn table(rows: &Value, keys: &[&str]) -> String {
+    let mut cells = vec![keys.iter().map(|key| key.to_string()).collect::<Vec<_>>()];
+    let rows = rows.as_array().into_iter().flatten();
+    cells.extend(rows.map(|row| keys.iter().map(|key| plain(&row[*key])).collect()));
+    let width = |at: usize| cells.iter().map(|row| row[at].len()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..keys.len()).map(width).collect();
+    let line = |row: &Vec<String>| {
+        let padded = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        padded.collect::<Vec<_>>().join("  ").trim_end().to_string()
+    };
+    cells.iter().map(line).collect::<Vec<_>>().join("\n")
+}
--- a/crates/rig/src/simulated.rs
+++ b/crates/rig/src/simulated.rs
@@ -26,6 +26,8 @@
     pub seats: u8,
     pub whole: u64,
     pub floor_percent: u64,
+    /// The budget is on the engines themselves: no statement takes from it.
+    pub on_engines: bool,
     /// Statements a second at each gateway at first, and how long one takes at the most.
     pub demand: u32,
     pub longest: Duration,
@@ -44,6 +46,7 @@
             seats: 3,
             whole: 40 * GRAIN,
             floor_percent: 25,
+            on_engines: false,
             demand: 100,
             longest: 800 * MS,
             lease: 2000 * MS,
@@ -70,6 +73,9 @@
     }
 
     fn budget(&self) -> Budget {
+        if self.on_engines {
+            return Budget { whole: self.whole, ..Budget::engines() };
+        }
         Budget {
             name: "whole".into(),
             scope: Scope::default(),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,9 +5,11 @@
 pub mod disk;
 pub mod engine;
 pub mod http;
+pub mod works;
 
 pub use engine::{answer, Call, Engine, Reply, Take};
 pub use http::read_message;
+pub use works::{most_at_once, Works};
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -129,7 +129,9 @@
     }
 
     fn answer(&mut self, gateway: &str, actions: &[Action]) {
-        for action in actions {
+        // Budgets of a fleet are never told here, and so nothing is ever taken of them.
+        let told = actions.iter().filter(|action| !matches!(action, Action::Takes { .. }));
+        for action in told {
             self.reply.push_str(&wire::action(gateway, action));
             self.reply.push('\n');
         }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -234,6 +234,8 @@
             json!(["place", gateway, **id, **engine, micros(timeout).max(1)])
         }
         Action::Terms { id, mem_mb, priority } => json!(["resources", gateway, **id, mem_mb, priority]),
+        // Budgets of a fleet are never told here.
+        Action::Takes { .. } => Value::Null,
         Action::Cancel { id, execution } => json!(["cancel", gateway, **id, execution]),
         Action::Reject { id, retry_in } => {
             json!(["notNow", gateway, **id, retry_in.as_ref().map_or(0, micros)])
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,6 +4,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use bramblewharf_budgets::Claim;
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound::{Excluded, Unbounded};
@@ -86,10 +87,10 @@
     (State::Streaming, Input::Finished,   State::Over,      Step::Close),
     (State::Streaming, Input::Unfinished, State::Over,      Step::GiveUp),
 ];
-/// The seven rules, as reasons against a send, and that a text which is not kept goes out once.
+/// The seven rules, as reasons against a send; that a text which is not kept goes out once; the fleet's budgets.
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Rule { OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget, Text }
+pub enum Rule { OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget, Text, Leave }
 pub struct Chooser {
     site: Site,
     rng: WyRand,
@@ -117,6 +118,7 @@
     subscribed: bool,
     list_at: Duration,
     list_failed: bool,
+    room: Room,
     actions: Vec<Action>,
 }
 impl Chooser {
@@ -147,7 +149,7 @@
             taken: VecDeque::new(), extras: VecDeque::new(), beat_due: now,
             unjudged: false, crumbs, usual_told: Mean(0.0, false), told_at: now, usual_pace: Mean(1.0, false),
             list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
-            site,
+            room: Room::default(), site,
         };
         chooser.beat(now);
         let first = std::mem::take(&mut chooser.actions);
@@ -177,6 +179,7 @@
                     at.held.insert((group, from), (loads, now + TOLD_SPAN));
                 }
             }
+            Event::Room(room) => self.room = room,
             Event::Timer(BEAT_MARK) => self.beat(now),
             Event::Timer(_) | Event::Nothing => {}
         }
@@ -260,7 +263,8 @@
         }
         let dense = if self.crumbs { DENSE.1 } else { DENSE.0 };
         let slices = if engine.pressed(now) || self.crumbs { 1.0 } else { OPEN_SLICES };
-        let (load, capacity, weight) = (self.load(now, engine), self.capacity(engine), self.weight(stmt));
+        let (load, capacity, weight) =
+            (self.load(now, engine), self.capacity(now, engine), self.weight(stmt));
         let capacity =
             capacity * slices * (dense + (1.0 - dense) * self.density(stmt).min(1.0)) * stmt.worth.max(LATE);
         load + weight <= capacity || (weight > capacity && engine.idle())
@@ -278,7 +282,7 @@
     /// What speaks against an engine that fits: least another location where crossing is priced, most a load
     /// that holds the table group, for a reader that would stand still.
     fn objections(&self, now: Duration, stmt: &Stmt, engine: &Engine) -> u32 {
-        let used = (self.load(now, engine) + self.weight(stmt)) / self.capacity(engine);
+        let used = (self.load(now, engine) + self.weight(stmt)) / self.capacity(now, engine);
         let steps = (used * STEPS).ceil().clamp(0.0, 99.0) as u32;
         let terms = &self.rows[stmt.said.workload].terms;
         let held = stmt.said.table_group.is_some_and(|group| {
@@ -293,11 +297,15 @@
     fn weight(&self, stmt: &Stmt) -> f64 {
         self.rows[stmt.said.workload].terms.threads * stmt.coefficient
     }
-    fn capacity(&self, engine: &Engine) -> f64 {
+    /// The part of every engine that is this gateway's to lend: by who is in the fleet, else as configured.
+    fn share(&self, now: Duration) -> f64 {
+        self.room.share(now).unwrap_or(1.0 / f64::from(self.site.gateways.max(1)))
+    }
+    fn capacity(&self, now: Duration, engine: &Engine) -> f64 {
         if self.crumbs {
             return engine.cores * THREADS_PER_CORE / (self.usual_pace.0 / OPEN_PACE).max(1.0);
         }
-        engine.cores * THREADS_PER_CORE / f64::from(self.site.gateways.max(1))
+        engine.cores * THREADS_PER_CORE * self.share(now)
     }
     /// When half the engines or more look bad, and most of the others do not answer well either, the cause is
     /// taken as common and none is shunned. A lost hall is no common cause while the rest answers well.
@@ -334,9 +342,15 @@
             (Rule::Placement, bound(&row.terms.kinds, &to.entry.kind)),
             (Rule::Budget, tries > 0 && !self.budget_has_room(now, stmt.cost_nothing())),
             (Rule::Cold, !self.cold_has_room(now, to, row)),
+            (Rule::Leave, !self.room.permits(now, &self.claim(stmt, to))),
         ];
         broken.iter().find(|(_, broken)| *broken).map(|(rule, _)| *rule)
     }
+    fn claim<'a>(&self, stmt: &Stmt, to: &'a Engine) -> Claim<'a> {
+        let (further, mem_mb) = (!stmt.executions.is_empty(), stmt.said.est_mem_mb.unwrap_or(0.0));
+        let (workload, customer) = (stmt.said.workload, stmt.said.customer);
+        Claim { workload, customer, kind: &to.entry.kind, weight: self.weight(stmt), mem_mb, further }
+    }
     fn repeat_is_harmless(&self, now: Duration, stmt: &Stmt, row: &Row, to: &Engine) -> bool {
         let near = |x: &Execution, group| match group {
             DedupGroup::All => true,
@@ -375,7 +389,7 @@
         };
         let (half, many) = (cold.window / 2, (stands * COLD_LIGHT / 2.0 / work) as u64);
         let room = match (self.crumbs, many > 1) {
-            (false, _) => sent(cold.window) + work <= stands / gateways as f64,
+            (false, _) => sent(cold.window) + work <= stands * self.share(now),
             (true, true) => turn(half, many) && sent(half) <= 0.0,
             (true, false) => {
                 let early = since.as_nanos() % (cold.window * 2).as_nanos().max(1) < cold.window.as_nanos();
@@ -410,6 +424,11 @@
         let timeout = if again && self.budget_has_room(now, false) { left.min(patience) } else { left };
         let (mem_mb, priority) = (self.grant(stmt, &engine), self.priority(stmt));
         let (work, group) = (row.work.0, stmt.said.table_group.filter(|_| row.terms.holds_group));
+        if let Some(to) = self.engines.get(&engine).filter(|_| !self.room.is_off()) {
+            let claim = self.claim(stmt, to);
+            let took = self.room.take(&claim);
+            self.actions.push(Action::Takes { id: id.clone(), took });
+        }
         let Some(to) = self.engines.get_mut(&engine) else { return Input::NoRoom };
         to.load += weight;
         to.since += weight;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! Types only: what the site states, what a gateway is told, what it answers.
 
+pub use bramblewharf_budgets::usage::{Room, Took};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -210,6 +211,8 @@
         group: u64,
         engine: Id,
     },
+    /// What is left of this gateway's parts of budgets that are the whole fleet's.
+    Room(Room),
     /// A message that cannot be read; nothing is owed for it.
     Nothing,
     Timer(u64),
@@ -227,6 +230,11 @@
         mem_mb: f64,
         priority: u8,
     },
+    /// What the send that follows takes of budgets; told only where there are any.
+    Takes {
+        id: Id,
+        took: Took,
+    },
     Cancel {
         id: Id,
         execution: usize,
