Two known mistakes, run as processes, are found by the rig's checkers

Need: a checker that finds nothing proves nothing; in virtual time known mistakes are caught, with processes none had been.

Change: the rig's own program takes a known mistake by name (Ports::wrong; no settings lead there). Parts given anew at once, and a keeper that does not wait out the last, each found in the gateways' facts. bramblewharf-rig sizes measures what keeping costs.

--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -15,6 +15,7 @@
 use bramblewharf_bodies::ledger::Counts as BodyCounts;
 use bramblewharf_bodies::spool::{Disk, Folder, Threads};
 use bramblewharf_bodies::Keeper;
+use bramblewharf_fleet::{node, Terms, Wrong};
 use bramblewharf_site::Names;
 use slog::Logger;
 use std::cell::{Cell, RefCell};
@@ -82,6 +83,8 @@
     pub disk: Option<Arc<dyn Disk>>,
     /// The clock of a gateway in a fleet.
     pub ticks: Option<Ticks>,
+    /// A known mistake in what it does in a fleet, to see that checkers find it.
+    pub wrong: Option<Wrong>,
 }
 
 /// Several reloads may come before the first is taken in: the last word on each counts.
@@ -343,7 +346,7 @@
     }
 
     pub async fn start_with(start: Start, log: Logger, ports: Ports) -> io::Result<Gateway> {
-        let Ports { disk, ticks } = ports;
+        let Ports { disk, ticks, wrong } = ports;
         let named = |what: &str, address: &dyn std::fmt::Display, e: io::Error| {
             io::Error::new(e.kind(), format!("{what}: {address}: {e}"))
         };
@@ -376,7 +379,9 @@
         let (bodies, folder) = keeper(&start.operators.bodies, disk, &log)?;
         let strict = start.words.workloads.iter().map(|w| start.operators.bodies.is_strict(w)).collect();
         let (slowest, stay_away) = (start.operators.bodies.slowest.as_u64(), start.site.max_retry_after);
-        let part = start.fleet.map(|terms| terms.start);
+        let part = start
+            .fleet
+            .map(|terms| node::Start { terms: Terms { wrong, ..terms.start.terms }, ..terms.start });
         let (reducer, first) =
             Reducer::start_in(part, start.site, start.seed, start.bounds.stmts, clock.now());
         let core = Rc::new(Core {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,11 +1,13 @@
 //! Campaigns against fleets: many plans of faults, and the smallest that breaks something.
 
+use bramblewharf_budgets::GRAIN;
+use bramblewharf_fleet::Wrong;
 use bramblewharf_gateway::{cli, machine_time, Ports};
 use bramblewharf_rig::campaign;
 use bramblewharf_rig::plan::{draw, kinds, smaller, Plan};
-use bramblewharf_rig::simulated::{play, Fleet};
+use bramblewharf_rig::simulated::{play, Fleet, World};
 use bramblewharf_rig::world;
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use rayon::prelude::*;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -30,6 +32,9 @@
         /// Parts in a thousand that its clock is fast.
         #[arg(long, default_value_t = 0, allow_hyphen_values = true)]
         clock_fast: i64,
+        /// A known mistake, to see that it is found.
+        #[arg(long)]
+        wrong: Option<Mistake>,
     },
     /// Plans against processes of the program, one a seed, in real time.
     Campaign {
@@ -47,6 +52,9 @@
         #[arg(long, default_value_t = 12)]
         seconds: u64,
     },
+    /// What keeping leave costs in fleets of several sizes, in virtual time: the keeper's share of this machine's core, and what
+    /// each gateway says in a second.
+    Sizes,
     /// Plans in virtual time, one a seed; prints how often each kind of fault was caused, and what broke, made smaller.
     Simulate {
         /// The first seed, and how many.
@@ -66,25 +74,39 @@
     },
 }
 
+/// Of the known mistakes, those that processes can show.
+#[derive(Clone, Copy, ValueEnum)]
+enum Mistake {
+    GivesAnewAtOnce,
+    NoWaitingOut,
+    FreeAtTheKill,
+}
+
 fn main() -> ExitCode {
     match Line::parse().command {
-        Command::Serve { config, settings, clock_fast } => serve(config, settings, clock_fast),
+        Command::Serve { config, settings, clock_fast, wrong } => serve(config, settings, clock_fast, wrong),
         Command::Campaign { from, plans, gateways, seats, faults, seconds } => {
             against_processes(from, plans, gateways, seats, faults, Duration::from_secs(seconds))
         }
+        Command::Sizes => sizes(),
         Command::Simulate { from, plans, gateways, seats, faults, seconds } => {
             simulate(from, plans, gateways, seats, faults, Duration::from_secs(seconds))
         }
     }
 }
 
-fn serve(config: PathBuf, settings: PathBuf, fast: i64) -> ExitCode {
+fn serve(config: PathBuf, settings: PathBuf, fast: i64, wrong: Option<Mistake>) -> ExitCode {
     let start = machine_time();
     let ticks = move || {
         let passed = machine_time() - start;
         start + passed.mul_f64((1000 + fast) as f64 / 1000.0)
     };
-    let ports = Ports { ticks: (fast != 0).then(|| Rc::new(ticks) as _), ..Ports::default() };
+    let wrong = wrong.map(|wrong| match wrong {
+        Mistake::GivesAnewAtOnce => Wrong::GivesAnewAtOnce,
+        Mistake::NoWaitingOut => Wrong::NoWaitingOut,
+        Mistake::FreeAtTheKill => Wrong::FreeAtTheKill,
+    });
+    let ports = Ports { ticks: (fast != 0).then(|| Rc::new(ticks) as _), wrong, ..Ports::default() };
     match cli::serve(Some(config), Some(settings), ports) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
@@ -161,3 +183,28 @@
         ExitCode::FAILURE
     }
 }
+
+fn sizes() -> ExitCode {
+    println!(
+        "{:>8} {:>22} {:>22} {:>22}",
+        "gateways", "keeper, of a core", "messages each a second", "bytes each a second"
+    );
+    for gateways in [30, 300, 1000, 3000] {
+        let whole = 20 * gateways as u64 * GRAIN;
+        let fleet = Fleet { gateways, places: gateways as u32, whole, demand: 2, ..Fleet::default() };
+        let mut world = World::new(fleet, Plan::new());
+        // By then somebody keeps it and gives.
+        world.run(Duration::from_secs(12));
+        let before = (world.seen().keepers_took, world.seen().messages, world.seen().bytes);
+        world.run(Duration::from_secs(22));
+        let seen = world.seen();
+        let each = |count: u64| count as f64 / gateways as f64 / 10.0;
+        println!(
+            "{gateways:>8} {:>22.4} {:>22.1} {:>22.0}",
+            (seen.keepers_took - before.0).as_secs_f64() / 10.0,
+            each(seen.messages - before.1),
+            each(seen.bytes - before.2)
+        );
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -34,6 +34,8 @@
     pub lasts: Duration,
     pub waits: Duration,
     pub seed: u64,
+    /// A known mistake that all of them make, by its name.
+    pub wrong: Option<&'static str>,
     /// By gateway, clocks that are wrong: parts in a thousand that they are fast.
     pub clocks: BTreeMap<usize, i64>,
 }
@@ -51,6 +53,7 @@
             lasts: 120 * MS,
             waits: 900 * MS,
             seed: 1,
+            wrong: None,
             clocks: BTreeMap::new(),
         }
     }
@@ -283,6 +286,9 @@
         if let Some(fast) = self.plan.clocks.get(&at) {
             command.arg(format!("--clock-fast={fast}"));
         }
+        if let Some(wrong) = self.plan.wrong {
+            command.arg("--wrong").arg(wrong);
+        }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         self.gateways[at].child = Some(child);
         self.gateways[at].lives.push(Life { facts, ended: None });
--- a/crates/rig/tests/processes.rs
+++ b/crates/rig/tests/processes.rs
@@ -260,3 +260,45 @@
         assert!(outcome.completed > 0);
     }
 }
+
+/// The checkers are checked: processes that make a known mistake are found out.
+#[test]
+fn a_part_given_anew_at_once_is_found() {
+    let world = world(Plan { wrong: Some("gives-anew-at-once"), ..Plan::default() });
+    let _clients = crowd(&world);
+    wait_full(&world);
+    let last = world.plan.gateways - 1;
+    for _ in 0..8 {
+        world.pause(last);
+        // The others have its part while its leave lasts.
+        let found = world.becomes(Duration::from_secs(2), |world| world.verdict().is_err());
+        world.go_on(last);
+        if found {
+            return;
+        }
+        world.becomes(Duration::from_secs(10), |world| world.has(last) >= 5);
+    }
+    panic!("eight times a part was given while it was held, and nothing was seen");
+}
+
+#[test]
+fn a_keeper_that_does_not_wait_out_the_last_is_found() {
+    // A gateway takes its time to leave; what the one that is cut off has must outlast that.
+    let lease = Duration::from_secs(3);
+    let mut world = world(Plan { wrong: Some("no-waiting-out"), lease, ..Plan::default() });
+    let _clients = crowd(&world);
+    for _ in 0..8 {
+        wait_full(&world);
+        let keeper = world.keeper().unwrap();
+        // The gateway that has no seat is cut off with its leave in hand, so that the next keeper hears nothing of it.
+        world.set_around(world.plan.gateways - 1, CUT, CUT);
+        world.leave(keeper);
+        let found = world.becomes(Duration::from_secs(4), |world| world.verdict().is_err());
+        if found {
+            return;
+        }
+        world.set_all(Way::default());
+        world.start(keeper).unwrap();
+    }
+    panic!("eight times a new keeper gave what others had, and nothing was seen");
+}
