--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -92,6 +92,12 @@
     places: BTreeMap<u32, Place>,
     /// Emptied of each as what it had can't be in use any more.
     ghosts: Vec<Ghost>,
+    /// By budget, the sum of all that entries and ghosts have: changed with each of them.
+    out: Vec<u64>,
+    /// When places were last looked through for what has ended.
+    looked: Duration,
+    /// Members that are in, in order, as parts were last worked out.
+    ranks: Vec<u32>,
     /// By budget, of the places that are in: what each has missed by rounding, and what each should have.
     credits: Vec<BTreeMap<u32, i64>>,
     targets: Vec<BTreeMap<u32, u64>>,
@@ -117,6 +123,9 @@
         Keeper {
             term,
             terms,
+            out: vec![0; budgets.len()],
+            looked: Duration::ZERO,
+            ranks: Vec::new(),
             credits: vec![BTreeMap::new(); budgets.len()],
             targets: vec![BTreeMap::new(); budgets.len()],
             worked_out: Duration::ZERO,
@@ -142,9 +151,12 @@
         if self.terms.is_wrong(Wrong::NoWaitingOut) {
             return false;
         }
-        let all =
-            self.places.len() as u64 >= u64::from(self.terms.places) && self.places.values().all(|p| p.known);
-        !all && self.clock.now() < self.began + self.terms.until_free()
+        let early = self.clock.now() < self.began + self.terms.until_free();
+        let all = || {
+            let places = self.places.len() as u64 >= u64::from(self.terms.places);
+            places && self.places.values().all(|place| place.known)
+        };
+        early && !all()
     }
 
     /// Ends what has to end by now. A clock that went back costs the keeper its book: false.
@@ -153,7 +165,19 @@
             return false;
         }
         let now = self.clock.now();
-        self.ghosts.retain(|ghost| now < ghost.ends);
+        // In a large fleet not for every word anew: what ends a little later does no harm.
+        if now < self.looked + self.terms.lease / 64 {
+            return true;
+        }
+        self.looked = now;
+        let out = &mut self.out;
+        self.ghosts.retain(|ghost| {
+            let lasts = now < ghost.ends;
+            if !lasts {
+                out.iter_mut().zip(&ghost.given).for_each(|(out, given)| *out -= given);
+            }
+            lasts
+        });
         let span = match self.terms.is_wrong(Wrong::GivesAnewAtOnce) {
             true => self.terms.lease / 2,
             false => self.terms.until_free(),
@@ -161,6 +185,7 @@
         for place in self.places.values_mut() {
             // Its standing stays to be told until another process has the place.
             if let Some(entry) = place.entry.as_mut().filter(|entry| now >= entry.heard + span) {
+                out.iter_mut().zip(&entry.given).for_each(|(out, given)| *out -= given);
                 entry.given.iter_mut().for_each(|given| *given = 0);
                 entry.needs.iter_mut().for_each(|need| *need = 0);
                 self.stale = true;
@@ -262,8 +287,9 @@
         };
         // Heard out: what it has of a keeper before us is in use, whether we would have given it or not.
         if self.clock.now() < self.began + self.terms.until_free() {
-            let free: Vec<u64> = (0..self.budgets.len()).map(|at| self.free(at, place)).collect();
+            let free = (0..self.budgets.len()).map(|at| self.free(at));
             entry.given = ask.holds.iter().zip(free).map(|(holds, free)| (*holds).min(free)).collect();
+            self.out.iter_mut().zip(&entry.given).for_each(|(out, given)| *out += given);
         }
         self.stale = true;
         if let Some(seat) = self.places.get_mut(&place) {
@@ -271,13 +297,14 @@
         }
     }
 
-    /// What is free of a budget's pool, not counting what this place's present process has.
-    fn free(&self, at: usize, place: u32) -> u64 {
-        let others = self.places.iter().filter(|(other, _)| **other != place);
-        let entries = others.filter_map(|(_, seat)| seat.entry.as_ref()).map(|entry| entry.given[at]);
-        let ghosts = self.ghosts.iter().map(|ghost| ghost.given[at]);
-        let out = entries.chain(ghosts).fold(0u64, u64::saturating_add);
-        self.budgets[at].pool(self.terms.places).saturating_sub(out)
+    /// What is free of a budget's pool.
+    fn free(&self, at: usize) -> u64 {
+        debug_assert_eq!(
+            self.out[at],
+            self.totals()[at].0 + self.totals()[at].1,
+            "the sum is that of its parts"
+        );
+        self.budgets[at].pool(self.terms.places).saturating_sub(self.out[at])
     }
 
     fn give(&mut self, place: u32, number: u64, ask: &Ask) -> Message {
@@ -293,17 +320,21 @@
             entry.needs[at] = need;
             self.counts.too_much += u64::from(ask.holds[at] > entry.given[at]);
             // By its own word it may have less than was given, never more.
-            entry.given[at] = entry.given[at].min(ask.holds[at]);
+            let less = entry.given[at].saturating_sub(ask.holds[at]);
+            entry.given[at] -= less;
+            self.out[at] -= less;
         }
         self.work_out(place);
         let amounts = (0..self.budgets.len()).map(|at| {
-            let free = self.free(at, place);
+            let free = self.free(at);
             let Some(entry) = self.places.get_mut(&place).and_then(|seat| seat.entry.as_mut()) else {
                 return 0;
             };
             let target = self.targets[at].get(&place).copied().unwrap_or(0);
-            let amount = if waits_out { entry.given[at] } else { target.min(free) };
-            entry.given[at] = entry.given[at].max(amount);
+            let amount = if waits_out { entry.given[at] } else { target.min(free + entry.given[at]) };
+            let more = amount.saturating_sub(entry.given[at]);
+            entry.given[at] += more;
+            self.out[at] += more;
             amount
         });
         let amounts = amounts.collect();
@@ -330,6 +361,7 @@
         let entries = self.places.iter().filter_map(|(place, seat)| Some((*place, seat.entry.as_ref()?)));
         let there: Vec<(u32, &Entry)> =
             entries.filter(|(_, e)| !e.left && now < e.heard + terms.lease).collect();
+        self.ranks = there.iter().map(|(place, _)| *place).collect();
         for (at, budget) in self.budgets.iter().enumerate() {
             let asks = there.iter().map(|(_, e)| Asks { need: e.needs[at], importance: 1, has: e.given[at] });
             let asks: Vec<Asks> = asks.collect();
@@ -350,7 +382,8 @@
         let now = self.clock.now();
         let Some(seat) = self.places.get_mut(&place) else { return };
         let Some(entry) = seat.entry.as_mut() else { return };
-        if entry.incarnation != from || entry.session != session || number <= entry.number {
+        let stale = entry.incarnation != from || entry.session != session || number <= entry.number;
+        if stale || holds.len() != self.budgets.len() {
             self.counts.old += 1;
             return;
         }
@@ -360,6 +393,8 @@
         entry.needs.iter_mut().for_each(|need| *need = 0);
         let rest: Vec<u64> =
             entry.given.iter().zip(holds).map(|(given, holds)| (*given).min(*holds)).collect();
+        let free = entry.given.iter().zip(&rest).map(|(given, rest)| given - rest);
+        self.out.iter_mut().zip(free).for_each(|(out, free)| *out -= free);
         entry.given.iter_mut().for_each(|given| *given = 0);
         if rest.iter().any(|rest| *rest > 0) {
             let ends = now + self.terms.longer(self.terms.run_out);
@@ -367,21 +402,9 @@
         }
     }
 
-    /// Members that are in, and one's rank among them.
+    /// Members that are in, and one's rank among them, as last worked out.
     fn rank(&self, place: u32) -> (u32, u32) {
-        let now = self.clock.now();
-        let is_in = |seat: &Place| {
-            seat.entry
-                .as_ref()
-                .is_some_and(|e| !e.left && now < e.heard + self.terms.longer(self.terms.lease))
-        };
-        let members = self.places.iter().filter(|(_, seat)| is_in(seat));
-        let (mut all, mut before) = (0, 0);
-        for (other, _) in members {
-            all += 1;
-            before += u32::from(*other < place);
-        }
-        (all, before)
+        (self.ranks.len() as u32, self.ranks.partition_point(|other| *other < place) as u32)
     }
 
     pub fn members(&self) -> Vec<Member> {
