--- a/crates/rig/src/simulated.rs
+++ b/crates/rig/src/simulated.rs
@@ -5,7 +5,7 @@
 use bramblewharf_budgets::usage::Took;
 use bramblewharf_budgets::{Budget, Claim, Measure, Scope, GRAIN};
 use bramblewharf_fleet::node::{Effect, Node, Start, To};
-use bramblewharf_fleet::wire::{Message, Party};
+use bramblewharf_fleet::wire::Message;
 use bramblewharf_fleet::{Envelope, Incarnation, Key, Terms, Wrong};
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
@@ -189,7 +189,6 @@
     sum: u64,
     kept: VecDeque<(usize, Envelope, SocketAddr)>,
     seen: Seen,
-    statements: bool,
 }
 
 fn address(of: usize) -> SocketAddr {
@@ -233,7 +232,6 @@
             sum: 0,
             kept: VecDeque::new(),
             seen: Seen { by_gateway: vec![0; fleet.gateways], ..Seen::default() },
-            statements: true,
             gateways,
             plan,
             fleet,
@@ -249,12 +247,6 @@
         world
     }
 
-    /// Without statements: only what gateways say to one another.
-    pub fn quiet(mut self) -> World {
-        self.statements = false;
-        self
-    }
-
     pub fn seen(&self) -> &Seen {
         &self.seen
     }
@@ -352,9 +344,7 @@
         let soon = self.now + Duration::from_micros(self.rng.generate_range(0..20_000));
         self.gateways[at].wakes = Some(soon);
         self.queue(soon, Event::Wake(at, incarnation));
-        if self.statements {
-            self.queue(soon, Event::Statement(at, incarnation));
-        }
+        self.queue(soon, Event::Statement(at, incarnation));
         self.count(at);
     }
 
@@ -635,12 +625,4 @@
         self.seen.unkept += u64::from(!kept);
         self.queue(now + 50 * MS, Event::Sample);
     }
-
-    /// Who a message is from, as its place.
-    pub fn place(party: Party) -> u32 {
-        match party {
-            Party::Seat(seat) => u32::from(seat),
-            Party::Place(place) => place,
-        }
-    }
 }
