The gate is asked again before the first byte; forerunners' cold sends are allowed for

A send was decided once, and what came while its connection was made (250 ms and more) or a cancel was under way was not looked at: a client that left, a drain that was told, a window of repeats that ran out. A window counted from the decision, not from when the repeat can be whole at its engine. `list_is_known` let engines that look bad be tried while the list fails if half of them look bad. A deduplicated statement was rejected ("trying again is harmless") however long after its window. `cold_has_room` knew only what this process had sent.

Lines at fault: `forbids` as the only gate, `repeat_is_harmless`, `list_is_known`, `give_up`, `cold_has_room`.

Change: `Chooser::lapsed` asks the part of the gate that can change (`passes`, shared with `forbids`) right before the first byte; `Event::Absent` and `Event::Closing` with a rule each; 250 ms of a window of repeats are its way; a bad engine gets nothing while the list fails; what engines may have forgotten is aborted; an engine that was cold before this process began gets nothing for one window.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,6 +45,8 @@
 const SILENT_TIMES: f64 = 4.0;
 const PATIENCE_TIMES: f64 = 10.0;
 const SHORTEST_WAIT: Duration = Duration::from_millis(100);
+/// Of a window of repeats, what one may need to come whole: a lost segment is sent again after 200 ms.
+const ON_THE_WAY: Duration = Duration::from_millis(250);
 /// Our own ration of further executions, beside any that the site states.
 const RATION: Budget = Budget { span: Duration::from_secs(5), free: 10.0, share: 0.3 };
 /// Share of what a cold engine stands that is used, and of its cores that a warm one surely works at.
@@ -90,10 +92,13 @@
     (State::Streaming, Input::Finished,   State::Over,      Step::Close),
     (State::Streaming, Input::Unfinished, State::Over,      Step::GiveUp),
 ];
-/// The seven rules, as reasons against a send; that a text not kept goes out once; the fleet's budgets.
+/// The seven rules, as reasons against a send; that a text not kept goes out once; the fleet's budgets; that
+/// nothing begins for an absent client, or that can't end before this gateway closes.
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Rule { OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget, Text, Leave }
+pub enum Rule {
+    OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget, Text, Leave, Absent, Closing,
+}
 pub struct Chooser {
     site: Site,
     rng: WyRand,
@@ -111,6 +116,9 @@
     beat_due: Duration,
     unjudged: bool,
     last: Option<Id>,
+    /// Since when it decides, and until when what it begins has to be over.
+    began: Duration,
+    closes: Option<Duration>,
     /// Whether a slice is less than the heaviest workload weighs; threads a core that engines tell of late.
     crumbs: bool,
     usual_told: Mean,
@@ -158,7 +166,7 @@
             unjudged: false, crumbs, usual_told: Mean(0.0, false), told_at: now, usual_pace: Mean(1.0, false),
             draw, signals: Signals::start(terms, seed),
             list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
-            room: Room::default(), site,
+            room: Room::default(), began: now, closes: None, site,
         };
         chooser.beat(now);
         let first = std::mem::take(&mut chooser.actions);
@@ -169,6 +177,8 @@
             Event::Engines(kind, entries) => self.list(now, kind, entries),
             Event::Statement(said) => self.take(now, said),
             Event::ClientGone(id) => self.drive(now, &id, Input::Finished),
+            Event::Absent(id, absent) => self.stmts.get_mut(&id).into_iter().for_each(|s| s.absent = absent),
+            Event::Closing(by) => self.closes = Some(by),
             Event::Unkept(id) => self.stmts.get_mut(&id).into_iter().for_each(|s| s.said.kept = false),
             Event::Ended(ended) => self.ended(now, ended),
             Event::Answering { id, engine, .. } => {
@@ -238,7 +248,10 @@
             self.lines.entry(key).or_default().stmts.push_back(id.clone());
         }
         let until = now + said.time_left;
-        let stmt = Stmt { state: State::Waiting, said, until, coefficient, worth, executions: Vec::new() };
+        #[rustfmt::skip]
+        let stmt = Stmt {
+            state: State::Waiting, said, until, coefficient, worth, executions: Vec::new(), absent: false,
+        };
         self.stmts.insert(id.clone(), stmt);
         self.drive(now, &id, Input::Turn);
     }
@@ -363,14 +376,14 @@
         };
         let row = &self.rows[stmt.said.workload];
         let tries = stmt.executions.len();
-        let late = now + self.site.tick >= stmt.until;
+        let over = now + Duration::from_secs_f64(row.elapsed.0 * stmt.coefficient);
         let bound = |names: &Option<Vec<Id>>, own: &Id| names.as_ref().is_some_and(|n| !n.contains(own));
         #[rustfmt::skip]
         let broken = [
-            (Rule::OneAnswer, stmt.state == State::Over || late || tries >= self.site.execution_limit),
+            (Rule::OneAnswer, tries >= self.site.execution_limit),
             (Rule::Text, stmt.spent()),
-            (Rule::NoDoubleEffect, !self.repeat_is_harmless(now, stmt, row, to)),
-            (Rule::Drain, to.entry.state != EngineState::In || !self.list_is_known(now, to)),
+            (Rule::NoDoubleEffect, !self.site.second_copies && stmt.out()),
+            (Rule::Closing, self.closes.is_some_and(|by| over > by)),
             (Rule::Order, !self.has_turn(now, stmt)),
             (Rule::Placement, bound(&row.terms.zones, &to.entry.zone)),
             (Rule::Placement, bound(&row.terms.kinds, &to.entry.kind)),
@@ -378,6 +391,27 @@
             (Rule::Cold, !self.cold_has_room(now, to, row)),
             (Rule::Leave, !self.room.permits(now, &self.claim(stmt, to))),
         ];
+        let first = broken.iter().find(|(_, broken)| *broken).map(|(rule, _)| *rule);
+        first.or_else(|| self.passes(now, stmt, &stmt.executions, to))
+    }
+    /// The gate once more, right before the first byte of an execution goes out: what has come since, while a
+    /// connection was made or a cancel was under way, takes the decision back, and nothing has run.
+    pub fn lapsed(&self, now: Duration, id: &Id, execution: usize) -> Option<Rule> {
+        let stmt = self.stmts.get(id);
+        let x = stmt.and_then(|s| s.executions.get(execution)).filter(|x| x.fate == Fate::Out);
+        let (Some(stmt), Some(x)) = (stmt, x) else { return Some(Rule::OneAnswer) };
+        let Some(to) = self.engines.get(&x.engine) else { return Some(Rule::Drain) };
+        self.passes(now, stmt, &stmt.executions[..execution], to)
+    }
+    /// What has to hold both when it is decided and when it goes out, after the executions `before`.
+    fn passes(&self, now: Duration, stmt: &Stmt, before: &[Execution], to: &Engine) -> Option<Rule> {
+        #[rustfmt::skip]
+        let broken = [
+            (Rule::OneAnswer, stmt.state == State::Over || now + self.site.tick >= stmt.until),
+            (Rule::NoDoubleEffect, !self.repeat_is_harmless(now, stmt, before, to)),
+            (Rule::Drain, to.entry.state != EngineState::In || !self.list_is_known(now, to)),
+            (Rule::Absent, stmt.absent),
+        ];
         broken.iter().find(|(_, broken)| *broken).map(|(rule, _)| *rule)
     }
     fn claim<'a>(&self, stmt: &Stmt, to: &'a Engine) -> Claim<'a> {
@@ -385,31 +419,32 @@
         let (workload, customer) = (stmt.said.workload, stmt.said.customer);
         Claim { workload, customer, kind: &to.entry.kind, weight: self.weight(stmt), mem_mb, before }
     }
-    fn repeat_is_harmless(&self, now: Duration, stmt: &Stmt, row: &Row, to: &Engine) -> bool {
+    fn repeat_is_harmless(&self, now: Duration, stmt: &Stmt, before: &[Execution], to: &Engine) -> bool {
+        let terms = &self.rows[stmt.said.workload].terms;
         let near = |x: &Execution, group| match group {
             DedupGroup::All => true,
             DedupGroup::Zone => x.zone == to.entry.zone,
             DedupGroup::Cell => x.cell == to.entry.cell,
         };
-        let mut may_have_run = stmt.executions.iter().filter(|x| x.fate != Fate::NeverRan);
-        (self.site.second_copies || !stmt.out())
-            && may_have_run.all(|x| match row.terms.effect {
-                Effect::Idempotent => true,
-                Effect::NonIdempotent => false,
-                Effect::Deduplicated(group) => now < x.sent + row.terms.dedup_span && near(x, group),
-            })
+        let mut may_have_run = before.iter().filter(|x| x.fate != Fate::NeverRan);
+        may_have_run.all(|x| match terms.effect {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => false,
+            Effect::Deduplicated(group) => now + ON_THE_WAY < x.sent + terms.dedup_span && near(x, group),
+        })
     }
     /// Where the list must be asked for, one that is too old may hide a drain. While it fails, an engine that
-    /// looks bad may be gone, whatever the cause; could hurt where engines recover and the list does not.
+    /// looks bad may drain or be gone, however many do; could hurt where engines recover and the list doesn't.
     fn list_is_known(&self, now: Duration, to: &Engine) -> bool {
         let span = self.site.list_ask_every * if self.list_failed { 4 } else { 1 };
-        let gone = self.list_failed && self.is_bad(now, to) && !self.trouble_is_common(now);
+        let gone = self.list_failed && self.is_bad(now, to);
         !gone && (!self.site.list_is_asked || self.subscribed || now < self.list_at + span)
     }
     /// This gateway's share of what a cold engine stands, in the window before now. Where slices are crumbs
     /// it goes by turns that each works out alone: one light statement each to as many gateways as it stands,
     /// anew every half window; and half of it whole to one gateway, in the first half of a turn of two
-    /// windows, so that no window meets two.
+    /// windows, so that no window meets two. What a forerunner of this process sent is not known here: an
+    /// engine that was there before gets nothing until that has left the window.
     fn cold_has_room(&self, now: Duration, to: &Engine, row: &Row) -> bool {
         let (cold, work) = (&self.site.cold, row.work.0);
         let stands = to.cores * WARM_WORK_PER_CORE * cold.capacity * cold.multiple * COLD_CAUTION;
@@ -426,7 +461,8 @@
                 early && turn(cold.window * 2, 1) && sent(cold.window) + work <= stands / 2.0
             }
         };
-        now >= to.warm_at || room
+        let ours = to.entry.started >= self.began || now >= self.began + cold.window;
+        now >= to.warm_at || (ours && room)
     }
     /// On the very edge of its span a further execution still counts, a statement taken no longer does. Our
     /// own ration guards engines from work done again: one after refused connections alone is not on it.
@@ -600,14 +636,25 @@
             self.actions.extend(told);
         }
     }
-    /// The final answer, at once: a rejection where harmless, with advice when to return, else an abort.
+    /// When whoever is turned away should come again, spread over about what a statement takes.
+    pub fn retry_in(&mut self, workload: usize) -> Option<Duration> {
+        let usual = self.rows.get(workload).map_or(0.0, |row| row.elapsed.0);
+        let spread = Duration::from_secs_f64(usual).mul_f32(0.5 + self.rng.generate::<f32>());
+        self.site.max_retry_after.map(|most| most.min(spread))
+    }
+    /// The final answer, at once: a rejection where harmless, with advice when to return, else an abort. What
+    /// engines would no longer know for a repeat when its client comes again is not harmless.
     fn give_up(&mut self, now: Duration, id: &Id) {
+        let retry_in = self.retry_in(self.stmts[id].said.workload);
         let stmt = &self.stmts[id];
-        let row = &self.rows[stmt.said.workload];
-        let harmless = matches!(row.terms.effect, Effect::Idempotent | Effect::Deduplicated(DedupGroup::All))
-            || stmt.executions.iter().all(|x| x.fate == Fate::NeverRan);
-        let spread = Duration::from_secs_f64(row.elapsed.0).mul_f32(0.5 + self.rng.generate::<f32>());
-        let retry_in = self.site.max_retry_after.map(|most| most.min(spread));
+        let terms = &self.rows[stmt.said.workload].terms;
+        let again = now + retry_in.unwrap_or_default() + ON_THE_WAY;
+        let mut may_have_run = stmt.executions.iter().filter(|x| x.fate != Fate::NeverRan);
+        let harmless = may_have_run.all(|x| match terms.effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated(DedupGroup::All) => again < x.sent + terms.dedup_span,
+            _ => false,
+        });
         let own = id.clone();
         let answer = if harmless { Action::Reject { id: own, retry_in } } else { Action::Abort { id: own } };
         self.actions.push(answer);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -191,6 +191,10 @@
     Engines(ListKind, Vec<EngineEntry>),
     Statement(NewStatement),
     ClientGone(Id),
+    /// No call of the statement's client is open, or one is again: nothing new begins for a client that is absent.
+    Absent(Id, bool),
+    /// The gateway closes: what begins from now on has to be over by then.
+    Closing(Duration),
     /// The statement's text was kept, and can't be sent again any more.
     Unkept(Id),
     Ended(Ended),
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,8 @@
     /// Share of its importance that it can still earn.
     pub(crate) worth: f64,
     pub(crate) executions: Vec<Execution>,
+    /// Its client has no call open; it may yet come back.
+    pub(crate) absent: bool,
 }
 
 impl Stmt {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -582,3 +582,89 @@
     let called = Action::Cancel { id, execution: 0 };
     assert!((0..60).all(|_| !hand.beat(50).contains(&called)));
 }
+
+/// The gate is asked once more right before the first byte goes out: what has come since takes the decision back.
+#[test]
+fn what_has_come_since_a_decision_takes_it_back() {
+    use bramblewharf::choice::Rule;
+    let start = || {
+        let mut hand = Hand::new(site(vec![workload(Deduplicated(DedupGroup::All))]), 3);
+        let (id, engine) = hand.sent(0);
+        (hand, id, engine.unwrap())
+    };
+    let (hand, id, _) = start();
+    assert_eq!(hand.chooser.lapsed(hand.now, &id, 0), None);
+    assert_eq!(hand.chooser.lapsed(hand.now + ms(4000), &id, 0), Some(Rule::OneAnswer));
+    let (mut hand, id, _) = start();
+    hand.event(Event::Absent(id.clone(), true));
+    assert_eq!(hand.chooser.lapsed(hand.now, &id, 0), Some(Rule::Absent));
+    hand.event(Event::Absent(id.clone(), false));
+    assert_eq!(hand.chooser.lapsed(hand.now, &id, 0), None);
+    let (mut hand, id, engine) = start();
+    let mut drained: Vec<EngineEntry> = (0..3).map(common::engine).collect();
+    drained.iter_mut().filter(|e| e.id == engine).for_each(|e| e.state = EngineState::Draining);
+    hand.event(Event::Engines(ListKind::All, drained));
+    assert_eq!(hand.chooser.lapsed(hand.now, &id, 0), Some(Rule::Drain));
+    // The window of repeats, 2 s here, runs from the first execution that may have run: its way counts too.
+    let (mut hand, id, engine) = start();
+    assert!(engine_of(&hand.end(&id, 0, &engine, Outcome::Error)).is_some());
+    assert_eq!(hand.chooser.lapsed(hand.now + ms(1700), &id, 1), None);
+    assert_eq!(hand.chooser.lapsed(hand.now + ms(1800), &id, 1), Some(Rule::NoDoubleEffect));
+    let (mut hand, id, _) = start();
+    hand.event(Event::ClientGone(id.clone()));
+    assert_eq!(hand.chooser.lapsed(hand.now, &id, 0), Some(Rule::OneAnswer));
+}
+
+#[test]
+fn nothing_begins_for_an_absent_client_or_beyond_the_close() {
+    let mut hand = Hand::new(site(vec![workload(Idempotent)]), 3);
+    let (id, engine) = hand.sent(0);
+    hand.event(Event::Absent(id.clone(), true));
+    let failed = hand.end(&id, 0, &engine.unwrap(), Outcome::Error);
+    assert!(rejected(&failed) && engine_of(&failed).is_none());
+    // A statement usually takes 200 ms here.
+    hand.event(Event::Closing(hand.now + ms(300)));
+    let (id, engine) = hand.sent(0);
+    hand.now += ms(150);
+    let failed = hand.end(&id, 0, &engine.unwrap(), Outcome::Error);
+    assert!(rejected(&failed) && engine_of(&failed).is_none());
+    assert!(rejected(&hand.statement(0, |_| {}).1));
+}
+
+/// A rejection says that coming again is harmless: not once engines may have forgotten what ran.
+#[test]
+fn what_engines_no_longer_know_is_aborted() {
+    for (after, harmless) in [(100, true), (1900, false)] {
+        let mut hand = Hand::new(site(vec![workload(Deduplicated(DedupGroup::All))]), 1);
+        let (id, engine) = hand.sent(0);
+        hand.event(Event::Closing(hand.now));
+        hand.now += ms(after);
+        assert_eq!(rejected(&hand.end(&id, 0, &engine.unwrap(), Outcome::Error)), harmless, "{after}");
+    }
+}
+
+/// While the list fails an engine that looks bad may drain, also where most do.
+#[test]
+fn while_the_list_fails_no_bad_engine_is_tried_however_many_there_are() {
+    for fails in [true, false] {
+        let mut hand = Hand::new(site(vec![workload(Idempotent)]), 3);
+        let (mut sends, mut left) = (0, 0);
+        for n in 0..200 {
+            if n == 60 && fails {
+                hand.event(Event::Engines(ListKind::Failed, Vec::new()));
+            }
+            if let (id, Some(engine)) = hand.sent(0) {
+                // Two of three fail, the third is slow to answer and so not well either.
+                let bad = &*engine != "e0";
+                sends += usize::from(bad && n >= 60);
+                left += usize::from(!bad && n >= 60);
+                let mut end = ended(&id, 0, &engine, if bad { Outcome::Reset } else { Outcome::Completed });
+                end.elapsed = if bad { ms(1) } else { ms(2000) };
+                let next = engine_of(&hand.event(Event::Ended(end)));
+                next.map(|next| hand.end(&id, 1, &next, Outcome::Completed));
+            }
+            hand.now += ms(50);
+        }
+        assert_eq!(sends == 0, fails, "{sends} sends to bad engines, {left} to the other");
+    }
+}
