--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,17 +3,22 @@
 
 use crate::exchange::Exchange;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_rt::time::{sleep, timeout};
+use bytes::{Buf as _, BytesMut};
+use futures_util::FutureExt as _;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::fmt;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::sync::Notify;
 
-pub struct Line {
+pub struct Connection {
     stream: RefCell<Option<TcpStream>>,
     readers: RefCell<Option<Waker>>,
     /// Idle since; none while a request is open on it.
@@ -27,6 +32,9 @@
     ahead: Cell<bool>,
     /// No further call is read on it, only so much of the one that was refused as lets the client read why.
     condemned: Cell<bool>,
+    /// Of a client's: what came behind the head of a call, kept back until that call is open, as it may be no part of it.
+    behind: RefCell<BytesMut>,
+    holds: Cell<bool>,
     /// Nothing more is written on it.
     shut: Cell<bool>,
     /// What may yet be read while a request is open: a client may send ahead, but not without bound.
@@ -39,13 +47,16 @@
     early: Cell<bool>,
     ended: Cell<bool>,
     end: Notify,
+    /// More waits to be read than may be while a call is open: its end can't be read either.
+    held_back: Cell<bool>,
+    linger: Rc<Linger>,
 }
 
 /// How far the head of a call has come.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Ends {
     /// Within a line, after a carriage return, after a line's end, after a carriage return there.
-    Line,
+    Within,
     Return,
     Begin,
     BeginReturn,
@@ -64,7 +75,7 @@
             (_, b'\n') => Ends::Odd,
             (Ends::Begin, b'\r') => Ends::BeginReturn,
             (_, b'\r') => Ends::Return,
-            _ => Ends::Line,
+            _ => Ends::Within,
         }
     }
 }
@@ -72,7 +83,7 @@
 /// Of a call that was refused, read at most.
 const AFTER_REFUSAL: usize = 256 * 1024;
 
-impl Line {
+impl Connection {
     /// A request is open on it, and so much more may be read. Tells when it began to come.
     pub fn open(&self, allowed: usize) -> Instant {
         let idle = self.idle.take().unwrap_or_else(Instant::now);
@@ -80,6 +91,9 @@
         let begun = self.begun.take().filter(|_| !first).unwrap_or(if first { idle } else { Instant::now() });
         self.allowed.set(allowed);
         self.ahead.set(false);
+        if self.holds.take() {
+            self.wake();
+        }
         begun
     }
 
@@ -118,26 +132,47 @@
         self.ends.get() == Ends::Odd
     }
 
-    /// A client's call comes: its head is looked at up to the empty line.
-    fn comes(&self, bytes: &[u8]) {
-        if self.idle.get().is_none() || self.condemned.get() {
+    /// A client's call comes: its head is looked at up to the empty line. Tells how many of the bytes belong to what may be
+    /// read now: behind the head nothing is, until its call is open.
+    fn comes(&self, bytes: &[u8]) -> usize {
+        if self.idle.get().is_none() {
             self.ahead.set(true);
-            return;
+            return bytes.len();
         }
         if self.begun.get().is_none() {
             self.begun.set(Some(Instant::now()));
             self.ends.set(Ends::Begin);
         }
-        self.ends.set(bytes.iter().fold(self.ends.get(), |ends, byte| ends.after(*byte)));
+        for (at, byte) in bytes.iter().enumerate() {
+            let before = self.ends.replace(self.ends.get().after(*byte));
+            if before != Ends::Over && self.ends.get() == Ends::Over {
+                self.holds.set(true);
+                return at + 1;
+            }
+        }
+        bytes.len()
     }
 
     /// Returns once the other end sends no more.
     pub async fn ended(&self) {
         while !self.ended.get() {
-            self.end.notified().await;
+            if !self.held_back.get() {
+                self.end.notified().await;
+            } else if self.is_hung_up() {
+                return;
+            } else {
+                let _ = timeout(HUNG_UP, self.end.notified()).await;
+            }
         }
     }
 
+    /// The other end has closed, whatever is still unread before that.
+    fn is_hung_up(&self) -> bool {
+        let stream = self.stream.borrow();
+        let ready = stream.as_ref().map(|stream| stream.ready(Interest::READABLE).now_or_never());
+        ready.is_none_or(|ready| ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed())))
+    }
+
     fn hear(&self) {
         if self.exchange.is_some() {
             self.idle.set(Some(Instant::now()));
@@ -216,6 +251,12 @@
         }
     }
 
+    /// A call has begun to come on it in this moment, and is not read yet.
+    fn has_next(&self) -> bool {
+        let rests = !self.condemned.get() && self.begun.get().is_none();
+        rests && self.stream.borrow().as_ref().is_some_and(|stream| !is_quiet(stream))
+    }
+
     fn idle_for(&self) -> Option<Duration> {
         self.idle.get().map(|since| since.elapsed())
     }
@@ -245,11 +286,132 @@
         self.stream.borrow_mut().take()
     }
 
+    /// Nothing more is read that could be carried out. A client's may have sent something in this very moment.
     pub fn close(&self) {
-        let stream = self.stream.borrow_mut().take();
-        drop(stream);
+        if let Some(stream) = self.stream.borrow_mut().take() {
+            if self.exchange.is_none() && !self.ended.get() && !self.shut.get() {
+                self.linger.take(stream);
+            }
+        }
         self.wake();
     }
+
+    /// A client's next bytes, from what was kept back or from the connection.
+    fn read_call(
+        &self,
+        stream: &mut TcpStream,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let behind = &mut *self.behind.borrow_mut();
+        if behind.is_empty() {
+            std::task::ready!(Pin::new(stream).poll_read(cx, buf))?;
+        } else {
+            let length = behind.len().min(buf.remaining());
+            buf.put_slice(&behind[..length]);
+            behind.advance(length);
+        }
+        let length = buf.filled().len() - before;
+        if length == 0 {
+            self.ended.set(true);
+            self.end.notify_one();
+            return Poll::Ready(Ok(()));
+        }
+        self.allowed.set(self.allowed.get().saturating_sub(length));
+        let now = self.comes(&buf.filled()[before..]);
+        if now < length {
+            let rest = BytesMut::from(&buf.filled()[before + now..]);
+            let later = std::mem::replace(behind, rest);
+            behind.extend_from_slice(&later);
+            buf.set_filled(before + now);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// What still comes behind a refusal is read and dropped, up to a bound, so that the refusal can be read.
+    fn read_out(&self, stream: &mut TcpStream, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.behind.borrow_mut().clear();
+        let mut bytes = [0; 4096];
+        while self.allowed.get() > 0 {
+            let mut read = ReadBuf::new(&mut bytes);
+            let came = std::task::ready!(Pin::new(&mut *stream).poll_read(cx, &mut read));
+            if came.is_err() || read.filled().is_empty() {
+                self.ended.set(true);
+                self.end.notify_one();
+                return Poll::Ready(came);
+            }
+            self.allowed.set(self.allowed.get().saturating_sub(read.filled().len()));
+        }
+        Poll::Pending
+    }
+}
+
+/// How often it is looked whether the other end has closed behind more than is read.
+const HUNG_UP: Duration = Duration::from_millis(30);
+/// How often connections that were let go are read out.
+const READ_OUT: Duration = Duration::from_millis(10);
+
+/// Connections that were let go: shut for writing at once, and read out before they are closed, as a close over unread bytes is
+/// a reset, which takes an answer with it that is still on its way. Nothing that is read here is carried out. Bounded by
+/// `most`, the oldest goes first; emptied of each as its other end closes, and after `LINGER`.
+pub struct Linger {
+    streams: RefCell<VecDeque<Lingering>>,
+    most: Cell<usize>,
+    some: Notify,
+}
+
+struct Lingering {
+    stream: TcpStream,
+    since: Instant,
+    read: usize,
+}
+
+impl Lingering {
+    fn is_over(&mut self) -> bool {
+        let mut bytes = [0; 4096];
+        while self.since.elapsed() < LINGER && self.read < AFTER_REFUSAL {
+            match self.stream.try_read(&mut bytes) {
+                Ok(0) => return true,
+                Ok(read) => self.read += read,
+                Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
+            }
+        }
+        true
+    }
+}
+
+impl Linger {
+    fn new(most: usize) -> Rc<Linger> {
+        Rc::new(Linger { streams: RefCell::default(), most: Cell::new(most), some: Notify::new() })
+    }
+
+    fn take(&self, stream: TcpStream) {
+        if socket2::SockRef::from(&stream).shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut streams = self.streams.borrow_mut();
+        if streams.len() >= self.most.get() {
+            streams.pop_front();
+        }
+        streams.push_back(Lingering { stream, since: Instant::now(), read: 0 });
+        self.some.notify_one();
+    }
+
+    pub fn count(&self) -> usize {
+        self.streams.borrow().len()
+    }
+
+    /// Reads them out for as long as it is polled.
+    pub async fn run(&self) {
+        loop {
+            self.some.notified().await;
+            while self.count() > 0 {
+                self.streams.borrow_mut().retain_mut(|lingering| !lingering.is_over());
+                sleep(READ_OUT).await;
+            }
+        }
+    }
 }
 
 /// Nothing has come on it that was not read, and neither has its end.
@@ -269,18 +431,18 @@
 /// Of what an engine sent, held at most before it is handed on.
 const HELD: usize = 16 * 1024;
 
-pub struct Link(pub Rc<Line>);
+pub struct Stream(pub Rc<Connection>);
 
 /// Whoever else still knows of the connection, it is closed with this.
-impl Drop for Link {
+impl Drop for Stream {
     fn drop(&mut self) {
         self.0.close();
     }
 }
 
-impl fmt::Debug for Link {
+impl fmt::Debug for Stream {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Link")
+        f.write_str("Stream")
     }
 }
 
@@ -288,8 +450,9 @@
 const LINGER: Duration = Duration::from_secs(1);
 
 /// The connections of one side, and how long one may stand idle.
-pub struct Lines {
-    lines: RefCell<Vec<Weak<Line>>>,
+pub struct Connections {
+    connections: RefCell<Vec<Weak<Connection>>>,
+    pub linger: Rc<Linger>,
     /// Of clients: how long the head of a call may take to come.
     head_within: Duration,
     idle: Duration,
@@ -297,19 +460,22 @@
     answer: Option<usize>,
 }
 
-impl Lines {
-    pub fn of_clients(head_within: Duration, idle: Duration) -> Lines {
-        Lines { lines: RefCell::default(), head_within, idle, answer: None }
+impl Connections {
+    /// `most`: those that are let go at once.
+    pub fn of_clients(most: usize, head_within: Duration, idle: Duration) -> Connections {
+        let linger = Linger::new(most);
+        Connections { connections: RefCell::default(), linger, head_within, idle, answer: None }
     }
 
-    pub fn of_engines(answer: usize, idle: Duration) -> Lines {
-        Lines { lines: RefCell::default(), head_within: idle, idle, answer: Some(answer) }
+    pub fn of_engines(answer: usize, idle: Duration) -> Connections {
+        let linger = Linger::new(0);
+        Connections { connections: RefCell::default(), linger, head_within: idle, idle, answer: Some(answer) }
     }
 
-    pub fn link(&self, stream: TcpStream) -> Link {
+    pub fn link(&self, stream: TcpStream) -> Stream {
         // Without it an answer of several segments waits for acknowledgements.
         let _ = stream.set_nodelay(true);
-        let line = Rc::new(Line {
+        let connection = Rc::new(Connection {
             stream: RefCell::new(Some(stream)),
             readers: RefCell::default(),
             idle: Cell::new(Some(Instant::now())),
@@ -325,109 +491,134 @@
             early: Cell::new(false),
             ended: Cell::new(false),
             end: Notify::new(),
+            behind: RefCell::default(),
+            holds: Cell::new(false),
+            held_back: Cell::new(false),
+            linger: self.linger.clone(),
         });
-        self.lines.borrow_mut().push(Rc::downgrade(&line));
-        Link(line)
+        self.connections.borrow_mut().push(Rc::downgrade(&connection));
+        Stream(connection)
     }
 
-    /// Closes what has been idle for too long; to be called now and then.
+    /// Closes what has been idle for too long; to be called now and then. What has just come is read first.
     pub fn sweep(&self) {
-        for line in self.live() {
-            if line.is_overdue(self.head_within, self.idle) {
-                line.close();
+        for connection in self.live() {
+            if connection.is_overdue(self.head_within, self.idle) && !connection.has_next() {
+                connection.close();
             }
         }
-        self.lines.borrow_mut().retain(|line| line.strong_count() > 0);
+        self.connections.borrow_mut().retain(|connection| connection.strong_count() > 0);
     }
 
     /// Closes one that no call is open on: one that was refused, or else the oldest that has asked nothing, if for
     /// `settled`; or else the one that has asked and rested longest, if for `rested`. False where there is none such.
     pub fn close_least_used(&self, settled: Duration, rested: Duration) -> bool {
-        let idle = self.live().into_iter().filter_map(|line| Some((line.idle_for()?, line)));
-        let rank = |line: &Line| (line.condemned.get(), line.calls.get() == 0);
-        let old =
-            idle.filter(|(idle, line)| *idle >= if rank(line) == (false, false) { rested } else { settled });
-        match old.max_by_key(|(idle, line)| (rank(line), *idle)) {
-            Some((_, line)) => line.close(),
+        let idle =
+            self.live().into_iter().filter_map(|connection| Some((connection.idle_for()?, connection)));
+        let rank = |connection: &Connection| (connection.condemned.get(), connection.calls.get() == 0);
+        let old = idle.filter(|(idle, connection)| {
+            *idle >= if rank(connection) == (false, false) { rested } else { settled }
+        });
+        let old = old.filter(|(_, connection)| !connection.has_next());
+        match old.max_by_key(|(idle, connection)| (rank(connection), *idle)) {
+            Some((_, connection)) => connection.close(),
             None => return false,
         }
         true
     }
 
     pub fn close_all(&self) {
-        self.live().iter().for_each(|line| line.close());
+        self.live().iter().for_each(|connection| connection.close());
+    }
+
+    /// Lets all go at once: no new ones come that would need their descriptors.
+    pub fn part_from_all(&self) {
+        self.linger.most.set(usize::MAX);
+        self.close_all();
     }
 
     pub fn count(&self) -> usize {
         self.live().len()
     }
 
-    fn live(&self) -> Vec<Rc<Line>> {
-        let lines = self.lines.borrow();
-        lines.iter().filter_map(Weak::upgrade).filter(|line| line.stream.borrow().is_some()).collect()
+    /// Of clients' connections, those that a call is open on.
+    pub fn open_calls(&self) -> usize {
+        self.live().iter().filter(|connection| connection.idle.get().is_none()).count()
+    }
+
+    fn live(&self) -> Vec<Rc<Connection>> {
+        let connections = self.connections.borrow();
+        connections
+            .iter()
+            .filter_map(Weak::upgrade)
+            .filter(|connection| connection.stream.borrow().is_some())
+            .collect()
     }
 }
 
-impl AsyncRead for Link {
+impl AsyncRead for Stream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let line = &self.0;
-        let bounded = line.idle.get().is_none() || line.condemned.get();
-        let held_back = bounded && line.allowed.get() == 0;
-        let mut stream = line.stream.borrow_mut();
+        let connection = &self.0;
+        let bounded = connection.idle.get().is_none() || connection.condemned.get();
+        let held_back = bounded && connection.allowed.get() == 0;
+        let mut stream = connection.stream.borrow_mut();
         let Some(stream) = stream.as_mut() else {
             // An answer that we cut ourselves is no whole one either.
             let cut = || Err(io::ErrorKind::ConnectionAborted.into());
-            return Poll::Ready(line.exchange.as_ref().map_or(Ok(()), |_| cut()));
+            return Poll::Ready(connection.exchange.as_ref().map_or(Ok(()), |_| cut()));
         };
-        if let Some(exchange) = &line.exchange {
-            let read = line.read_answer(&mut exchange.borrow_mut(), stream, cx, buf);
+        if let Some(exchange) = &connection.exchange {
+            let read = connection.read_answer(&mut exchange.borrow_mut(), stream, cx, buf);
             match &read {
-                Poll::Pending => *line.readers.borrow_mut() = Some(cx.waker().clone()),
-                Poll::Ready(_) => line.hear(),
+                Poll::Pending => *connection.readers.borrow_mut() = Some(cx.waker().clone()),
+                Poll::Ready(_) => connection.hear(),
             }
             return read;
         }
-        let before = buf.filled().len();
-        let read = if held_back { Poll::Pending } else { Pin::new(stream).poll_read(cx, buf) };
+        connection.held_back.set(held_back && connection.idle.get().is_none());
+        let read = if connection.condemned.get() {
+            connection.read_out(stream, cx)
+        } else if held_back || connection.holds.get() {
+            Poll::Pending
+        } else {
+            connection.read_call(stream, cx, buf)
+        };
         match &read {
-            Poll::Pending => *line.readers.borrow_mut() = Some(cx.waker().clone()),
-            Poll::Ready(Ok(())) if buf.filled().len() > before => {
-                line.allowed.set(line.allowed.get().saturating_sub(buf.filled().len() - before));
-                line.comes(&buf.filled()[before..]);
-            }
-            Poll::Ready(_) => {
-                line.ended.set(true);
-                line.end.notify_one();
-            }
+            Poll::Pending => *connection.readers.borrow_mut() = Some(cx.waker().clone()),
+            Poll::Ready(Ok(())) => {}
+            Poll::Ready(Err(_)) => connection.ended.set(true),
+        }
+        if connection.ended.get() || connection.held_back.get() {
+            connection.end.notify_one();
         }
         read
     }
 }
 
-impl AsyncWrite for Link {
+impl AsyncWrite for Stream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let line = &self.0;
-        line.hear();
-        let mut stream = line.stream.borrow_mut();
+        let connection = &self.0;
+        connection.hear();
+        let mut stream = connection.stream.borrow_mut();
         let Some(stream) = stream.as_mut() else {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         };
-        if line.early.get() {
+        if connection.early.get() {
             return Poll::Ready(Ok(buf.len()));
         }
-        line.check_free(stream)?;
+        connection.check_free(stream)?;
         let mut written = Pin::new(&mut *stream).poll_write(cx, buf);
         // An engine that answers and closes resets what still comes: its answer waits here all the same.
         if matches!(written, Poll::Ready(Err(_)))
-            && line.exchange.is_some()
-            && line.sent.get()
+            && connection.exchange.is_some()
+            && connection.sent.get()
             && has_answer(stream)
         {
-            line.early.set(true);
-            line.exchange.iter().for_each(|exchange| exchange.borrow_mut().spoil());
+            connection.early.set(true);
+            connection.exchange.iter().for_each(|exchange| exchange.borrow_mut().spoil());
             written = Poll::Ready(Ok(buf.len()));
         }
-        line.sent.set(line.sent.get() || matches!(written, Poll::Ready(Ok(1..))));
+        connection.sent.set(connection.sent.get() || matches!(written, Poll::Ready(Ok(1..))));
         written
     }
 
@@ -441,21 +632,21 @@
     /// A connection that is closed while something on it is unread is reset, and what was written last is lost with it: so
     /// the client gets some time to read, and what it still sends is read up to a bound.
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let line = self.0.clone();
-        if line.exchange.is_some() {
-            return match line.stream.borrow_mut().as_mut() {
+        let connection = self.0.clone();
+        if connection.exchange.is_some() {
+            return match connection.stream.borrow_mut().as_mut() {
                 Some(stream) => Pin::new(stream).poll_shutdown(cx),
                 None => Poll::Ready(Ok(())),
             };
         }
-        if !line.shut.replace(true) {
-            if let Some(stream) = line.stream.borrow_mut().as_mut() {
+        if !connection.shut.replace(true) {
+            if let Some(stream) = connection.stream.borrow_mut().as_mut() {
                 std::task::ready!(Pin::new(stream).poll_shutdown(cx))?;
             }
-            if !line.condemned.replace(true) {
-                line.allowed.set(AFTER_REFUSAL);
+            if !connection.condemned.replace(true) {
+                connection.allowed.set(AFTER_REFUSAL);
             }
-            line.idle.set(Some(Instant::now()));
+            connection.idle.set(Some(Instant::now()));
         }
         let mut bytes = [0; 4096];
         let this = self.get_mut();
@@ -470,7 +661,7 @@
     }
 }
 
-impl ActixStream for Link {
+impl ActixStream for Stream {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
         match self.0.stream.borrow().as_ref() {
             Some(stream) => ActixStream::poll_read_ready(stream, cx),
@@ -487,83 +678,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::AsyncReadExt as _;
-    use tokio::net::TcpListener;
-
-    const LONG: Duration = Duration::from_secs(60);
-
-    /// The other end of a new link, and the link.
-    async fn pair(lines: &Lines) -> (TcpStream, Link) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let there = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-        (there, lines.link(listener.accept().await.unwrap().0))
-    }
-
-    #[actix_rt::test]
-    async fn what_is_idle_is_closed_and_its_reader_woken_and_what_is_open_is_not() {
-        let lines = Lines::of_clients(Duration::ZERO, Duration::ZERO);
-        let (mut there, mut idle) = pair(&lines).await;
-        let (_busy_there, busy) = pair(&lines).await;
-        busy.0.open(10);
-        let reader = actix_rt::spawn(async move { idle.read(&mut [0; 8]).await });
-        tokio::task::yield_now().await;
-        lines.sweep();
-        assert_eq!(reader.await.unwrap().unwrap(), 0);
-        assert_eq!(there.read(&mut [0; 8]).await.unwrap(), 0);
-        assert_eq!(lines.count(), 1);
-        assert!(!lines.close_least_used(Duration::ZERO, Duration::ZERO));
-        busy.0.rest();
-        lines.sweep();
-        assert_eq!(lines.count(), 0);
-    }
-
-    #[actix_rt::test]
-    async fn no_more_is_read_ahead_than_allowed_while_a_call_is_open() {
-        let lines = Lines::of_clients(LONG, LONG);
-        let (there, mut link) = pair(&lines).await;
-        link.0.open(4);
-        there.writable().await.unwrap();
-        assert_eq!(there.try_write(b"12345678").unwrap(), 8);
-        let line = link.0.clone();
-        let reader = actix_rt::spawn(async move {
-            let mut bytes = [0; 4];
-            link.read_exact(&mut bytes).await.unwrap();
-            link.read_exact(&mut bytes).await.unwrap();
-            bytes
-        });
-        while line.allowed.get() > 0 {
-            tokio::task::yield_now().await;
-        }
-        tokio::task::yield_now().await;
-        assert!(!reader.is_finished());
-        line.rest();
-        assert_eq!(&reader.await.unwrap(), b"5678");
-    }
-
-    /// A call must not go out on a connection that has ended or holds what no call asked for; nothing of it is written then.
-    #[actix_rt::test]
-    async fn a_call_goes_out_on_a_quiet_connection_only() {
-        use tokio::io::AsyncWriteExt as _;
-        let lines = Lines::of_engines(100, LONG);
-        let (mut there, mut quiet) = pair(&lines).await;
-        quiet.write_all(b"call").await.unwrap();
-        let mut bytes = [0; 4];
-        there.read_exact(&mut bytes).await.unwrap();
-        assert!(&bytes == b"call" && quiet.0.sent() && !quiet.0.is_free());
-        quiet.0.close();
-        assert!(quiet.read(&mut bytes).await.is_err());
-        for ended in [true, false] {
-            let (mut there, mut link) = pair(&lines).await;
-            there.write_all(b"HTTP/1.1 200 X\r\n").await.unwrap();
-            if ended {
-                drop(there);
-            }
-            while is_quiet(link.0.stream.borrow().as_ref().unwrap()) {
-                tokio::task::yield_now().await;
-            }
-            assert!(link.write_all(b"call").await.is_err() && !link.0.sent() && !link.0.is_free());
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/connection/tests.rs
@@ -0,0 +1,78 @@
+use super::*;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpListener;
+
+const LONG: Duration = Duration::from_secs(60);
+
+/// The other end of a new link, and the link.
+async fn pair(connections: &Connections) -> (TcpStream, Stream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let there = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    (there, connections.link(listener.accept().await.unwrap().0))
+}
+
+#[actix_rt::test]
+async fn what_is_idle_is_closed_and_its_reader_woken_and_what_is_open_is_not() {
+    let connections = Connections::of_clients(4, Duration::ZERO, Duration::ZERO);
+    let (mut there, mut idle) = pair(&connections).await;
+    let (_busy_there, busy) = pair(&connections).await;
+    busy.0.open(10);
+    let reader = actix_rt::spawn(async move { idle.read(&mut [0; 8]).await });
+    tokio::task::yield_now().await;
+    connections.sweep();
+    assert_eq!(reader.await.unwrap().unwrap(), 0);
+    assert_eq!(there.read(&mut [0; 8]).await.unwrap(), 0);
+    assert_eq!(connections.count(), 1);
+    assert!(!connections.close_least_used(Duration::ZERO, Duration::ZERO));
+    busy.0.rest();
+    connections.sweep();
+    assert_eq!(connections.count(), 0);
+}
+
+#[actix_rt::test]
+async fn no_more_is_read_ahead_than_allowed_while_a_call_is_open() {
+    let connections = Connections::of_clients(4, LONG, LONG);
+    let (there, mut link) = pair(&connections).await;
+    link.0.open(4);
+    there.writable().await.unwrap();
+    assert_eq!(there.try_write(b"12345678").unwrap(), 8);
+    let connection = link.0.clone();
+    let reader = actix_rt::spawn(async move {
+        let mut bytes = [0; 4];
+        link.read_exact(&mut bytes).await.unwrap();
+        link.read_exact(&mut bytes).await.unwrap();
+        bytes
+    });
+    while connection.allowed.get() > 0 {
+        tokio::task::yield_now().await;
+    }
+    tokio::task::yield_now().await;
+    assert!(!reader.is_finished());
+    connection.rest();
+    assert_eq!(&reader.await.unwrap(), b"5678");
+}
+
+/// A call must not go out on a connection that has ended or holds what no call asked for; nothing of it is written then.
+#[actix_rt::test]
+async fn a_call_goes_out_on_a_quiet_connection_only() {
+    use tokio::io::AsyncWriteExt as _;
+    let connections = Connections::of_engines(100, LONG);
+    let (mut there, mut quiet) = pair(&connections).await;
+    quiet.write_all(b"call").await.unwrap();
+    let mut bytes = [0; 4];
+    there.read_exact(&mut bytes).await.unwrap();
+    assert!(&bytes == b"call" && quiet.0.sent() && !quiet.0.is_free());
+    quiet.0.close();
+    assert!(quiet.read(&mut bytes).await.is_err());
+    for ended in [true, false] {
+        let (mut there, mut link) = pair(&connections).await;
+        there.write_all(b"HTTP/1.1 200 X\r\n").await.unwrap();
+        if ended {
+            drop(there);
+        }
+        while is_quiet(link.0.stream.borrow().as_ref().unwrap()) {
+            tokio::task::yield_now().await;
+        }
+        assert!(link.write_all(b"call").await.is_err() && !link.0.sent() && !link.0.is_free());
+    }
+}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -2,13 +2,13 @@
 //! gives: only a connection refused or never established, or the protocol's own marks, prove that nothing ran.
 
 use crate::config::Bounds;
-use crate::link::{is_quiet, Line, Lines, Link};
+use crate::connection::{is_quiet, Connection, Connections, Stream};
 use crate::reducer::{Ending, Parcel, Text};
 use crate::upload::{Sending, Upload};
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
 use actix_service::fn_service;
-use actix_tls::connect::{ConnectError as DialError, ConnectInfo, Connection};
+use actix_tls::connect::{ConnectError as DialError, ConnectInfo, Connection as Dialled};
 use awc::http::{StatusCode, Uri};
 use awc::{Client, ClientRequest, Connector, SendClientRequest};
 use bramblewharf::interface::*;
@@ -35,6 +35,8 @@
 /// A connection rests for so long between two executions: what an engine sent behind an answer has come by then, and is
 /// not taken for the next one's.
 const REST: Duration = Duration::from_millis(250);
+/// An execution that nobody has asked for in 2 s ends by itself; what was asked before its cancel may take a while to arrive.
+const FORGOTTEN: Duration = Duration::from_millis(2500);
 /// How often the end of an execution or a page is asked for again where what came was no such thing, or did not come.
 const TRIES: usize = 5;
 
@@ -42,7 +44,7 @@
 const ALWAYS: fn() -> bool = || true;
 
 pub struct Engines {
-    lines: Rc<Lines>,
+    connections: Rc<Connections>,
     /// Connections that no execution uses, the longest at rest first; bounded with `lines` by `bounds.engines`, emptied of
     /// what has rested for `idle`.
     resting: RefCell<VecDeque<Resting>>,
@@ -53,6 +55,8 @@
     names: Names,
     bounds: Bounds,
     dial_timeout: Duration,
+    /// A statement may have no two executions out, not even for as long as one may yet be on its way.
+    one_at_a_time: bool,
 }
 
 struct Resting {
@@ -67,8 +71,8 @@
     address: SocketAddr,
     client: Client,
     /// A connection that is made, for the client to take.
-    made: Rc<Cell<Option<Link>>>,
-    line: Option<Rc<Line>>,
+    made: Rc<Cell<Option<Stream>>>,
+    connection: Option<Rc<Connection>>,
 }
 
 impl Way {
@@ -77,26 +81,26 @@
         let slot = made.clone();
         // Connections are made before the client is asked to send, and what became of that is known apart.
         let dial = fn_service(move |info: ConnectInfo<Uri>| {
-            let link: Option<Link> = slot.take();
+            let link: Option<Stream> = slot.take();
             std::future::ready(match link {
-                Some(link) => Ok(Connection::new(info.request().clone(), link)),
+                Some(link) => Ok(Dialled::new(info.request().clone(), link)),
                 None => Err(DialError::Io(io::ErrorKind::NotConnected.into())),
             })
         });
-        let connector = Connector::new().connector::<_, Link>(dial).limit(1);
+        let connector = Connector::new().connector::<_, Stream>(dial).limit(1);
         let client = Client::builder()
             .connector(connector)
             .disable_timeout()
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Way { address, client, made, line: None }
+        Way { address, client, made, connection: None }
     }
 
     /// The connection in use is not used again.
     fn leave(&mut self) {
-        if let Some(line) = self.line.take() {
-            line.close();
+        if let Some(connection) = self.connection.take() {
+            connection.close();
         }
     }
 }
@@ -140,17 +144,23 @@
     pub parcel: &'a Parcel,
     pub mem_mb: f64,
     pub timeout: Duration,
-    /// Whether its leave still lasts, as the clock shows it right before the first byte goes out.
+    /// Whether it may still go out, right before its first byte does: nothing may have come since that takes it back.
     pub may: &'a dyn Fn() -> bool,
 }
 
 impl Engines {
-    pub fn new(bounds: Bounds, names: Names, dial_timeout: Duration, engine_idle: Duration) -> Engines {
+    pub fn new(
+        bounds: Bounds,
+        names: Names,
+        dial_timeout: Duration,
+        engine_idle: Duration,
+        one_at_a_time: bool,
+    ) -> Engines {
         // Closed well before engines close them: a call must not cross such a close.
         let idle = engine_idle / 3;
-        let lines = Rc::new(Lines::of_engines(bounds.page, idle));
+        let connections = Rc::new(Connections::of_engines(bounds.page, idle));
         Engines {
-            lines,
+            connections,
             resting: RefCell::default(),
             idle,
             again: Cell::new(0),
@@ -158,12 +168,13 @@
             names,
             bounds,
             dial_timeout,
+            one_at_a_time,
         }
     }
 
     /// Connections that are open.
     pub fn connections(&self) -> usize {
-        self.lines.count() + self.resting.borrow().len()
+        self.connections.count() + self.resting.borrow().len()
     }
 
     pub fn asked_again(&self) -> u64 {
@@ -177,12 +188,12 @@
 
     /// Closes what has been idle for too long; to be called now and then.
     pub fn sweep(&self) {
-        self.lines.sweep();
+        self.connections.sweep();
         self.resting.borrow_mut().retain(|resting| resting.since.elapsed() < self.idle);
     }
 
     pub fn close_all(&self) {
-        self.lines.close_all();
+        self.connections.close_all();
         self.resting.borrow_mut().clear();
     }
 
@@ -203,7 +214,12 @@
     pub async fn run(&self, job: Job<'_>, noted: impl Fn(Note)) -> Ending {
         let mut way = Way::to(job.address);
         let ending = self.run_by(&mut way, &job, noted).await;
-        if let Some(stream) = way.line.take().filter(|line| line.is_free()).and_then(|line| line.take()) {
+        if let Some(stream) = way
+            .connection
+            .take()
+            .filter(|connection| connection.is_free())
+            .and_then(|connection| connection.take())
+        {
             let since = Instant::now();
             self.resting.borrow_mut().push_back(Resting { address: job.address, since, stream });
         }
@@ -223,7 +239,7 @@
             Call::Answered(reply)
         });
         drop(other);
-        let (mut started, mut in_a_row, mut odd, mut lost) = (false, 0, 0, false);
+        let (mut started, mut in_a_row, mut odd, mut lost, mut unknown) = (false, 0, 0, false, false);
         loop {
             match call {
                 Call::NoRoom if !started => return Outcome::Skipped.into(),
@@ -248,6 +264,11 @@
                     in_a_row = 0;
                     match self.read(&reply) {
                         News::None(note) => note.into_iter().for_each(&noted),
+                        // What was sent may yet be on its way, and would be out beside the next.
+                        News::Failed(Outcome::Error) if lost && self.one_at_a_time && !unknown => {
+                            unknown = true;
+                            sleep(REST).await;
+                        }
                         // An engine that does not know it may never have had it whole; the path is at fault.
                         News::Failed(Outcome::Error) if lost => {
                             return Ending { report: self.report(&reply), ..Outcome::Reset.into() };
@@ -284,11 +305,19 @@
         }
     }
 
-    /// Gives an execution up. The engine that cannot be told ends it by itself, as no one asks for it.
+    /// Gives an execution up, and returns once it surely is: its engine has answered that, or its process is gone, or it has
+    /// ended by itself, as no one asks for it. A call that broke off may never have come whole, and is made again.
     pub async fn stop(&self, address: SocketAddr, id: &str) {
         let uri = format!("http://{address}/x/{id}");
         let delete = |client: &Client| client.delete(&uri);
-        self.call(&mut Way::to(address), delete, &NOTHING, UNANSWERED, &ALWAYS).await;
+        let (began, mut pause) = (Instant::now(), PAUSE);
+        while began.elapsed() < FORGOTTEN {
+            match self.call(&mut Way::to(address), delete, &NOTHING, UNANSWERED, &ALWAYS).await {
+                Call::Answered(_) | Call::NotMade(true) => return,
+                _ => sleep(pause).await,
+            }
+            pause *= 2;
+        }
     }
 
     async fn post(&self, way: &mut Way, job: &Job<'_>) -> Call {
@@ -335,19 +364,19 @@
         std::future::pending().await
     }
 
-    async fn connect(&self, way: &mut Way) -> Result<Rc<Line>, Call> {
-        if let Some(line) = way.line.as_ref().filter(|line| line.is_free()) {
-            return Ok(line.clone());
+    async fn connect(&self, way: &mut Way) -> Result<Rc<Connection>, Call> {
+        if let Some(connection) = way.connection.as_ref().filter(|connection| connection.is_free()) {
+            return Ok(connection.clone());
         }
         let stream = match self.rested(way.address) {
             Some(stream) => stream,
             None => self.dial(way.address).await?,
         };
-        let link = self.lines.link(stream);
-        let line = link.0.clone();
+        let link = self.connections.link(stream);
+        let connection = link.0.clone();
         way.made.set(Some(link));
-        way.line = Some(line.clone());
-        Ok(line)
+        way.connection = Some(connection.clone());
+        Ok(connection)
     }
 
     async fn dial(&self, address: SocketAddr) -> Result<TcpStream, Call> {
@@ -380,15 +409,16 @@
         may: &dyn Fn() -> bool,
     ) -> Call {
         for _ in 0..2 {
-            let line = match self.connect(way).await {
-                Ok(line) => line,
+            let connection = match self.connect(way).await {
+                Ok(connection) => connection,
                 Err(call) => return call,
             };
-            // Guards against a pause of this process between the decision and the socket.
+            // Guards against what came between the decision and the socket: a pause of this process, a client that left
+            // while the connection was made, a drain.
             if !may() {
                 return Call::NoRoom;
             }
-            line.ask();
+            connection.ask();
             let request = request(&way.client).no_decompress();
             let reply = match text {
                 Text::Whole(text) => {
@@ -397,7 +427,7 @@
                 }
                 Text::Body(body) => {
                     let Some(outgoing) = body.send() else { return Call::NoRoom };
-                    let upload = Upload::new(&outgoing, line.clone());
+                    let upload = Upload::new(&outgoing, connection.clone());
                     let sent = request.send_body(Sending::new(outgoing, upload.cut()));
                     upload.watch(within, self.reply(sent)).await
                 }
@@ -406,7 +436,7 @@
                 return Call::Answered(reply);
             }
             way.leave();
-            if line.sent() {
+            if connection.sent() {
                 return match text {
                     Text::Body(body) if body.is_broken() || body.is_spoilt() => Call::Broken,
                     _ => Call::Lost,
@@ -557,40 +587,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_load_report_is_read_by_either_name_and_bad_figures_are_not_told() {
-        let names =
-            Names { workloads: Vec::new(), customers: Vec::new(), x0_is_memory: true, x1_is_disks: false };
-        let read = |text: &str| {
-            let report = read_report(text, &names);
-            [report.utilisation, report.held, report.mem_waiting, report.mem_granted, report.disks_busy]
-        };
-        let (some, none) = (Some, None);
-        assert_eq!(read("inflight:7;util:0.61"), [some(0.61), some(7.0), none, none, none]);
-        assert_eq!(read("cpu_share: 0.5 ; x0:0.25; x1:0.75"), [some(0.5), none, none, some(0.25), none]);
-        assert_eq!(read("queue:3;utility:9;busy_reqs:2"), [none, some(2.0), some(3.0), none, none]);
-        assert_eq!(read("util:NaN;inflight:many;;:"), [none; 5]);
-    }
-
-    #[test]
-    fn notes_are_read_and_others_passed_over() {
-        let read = |remark: &str, figure: &str| {
-            let mut headers = awc::http::header::HeaderMap::new();
-            for (name, value) in [("x-remark", remark), ("figure", figure)] {
-                let name = awc::http::header::HeaderName::from_static(name);
-                headers.insert(name, awc::http::header::HeaderValue::from_str(value).unwrap());
-            }
-            note(&Reply { status: StatusCode::ACCEPTED, headers, body: Bytes::new() })
-        };
-        assert_eq!(read("so_far", "0.25"), Some(Note::Progress(0.25)));
-        assert_eq!(read("lacking", "30"), Some(Note::Spills(30.0)));
-        assert_eq!(read("waiting", "1"), Some(Note::WaitsForMemory));
-        assert_eq!(read("waiting", "2"), Some(Note::WaitsForLoad));
-        assert_eq!(read("so_far", "much"), None);
-        assert_eq!(read("waiting", ""), None);
-        assert_eq!(read("humming", "1"), None);
-    }
-}
+mod tests;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,8 +2,8 @@
 //! answers, and decides nothing.
 
 use crate::config::Bounds;
+use crate::connection::{Connection, Connections, Stream};
 use crate::intake::{self, Came};
-use crate::link::{Line, Lines, Link};
 use crate::reducer::{Answer, Input, Parcel, Taken, Text};
 use crate::runtime::Core;
 use crate::sessions::Sessions;
@@ -62,10 +62,13 @@
 
 /// What the accept loop and the closing gateway know of the connections.
 pub struct Front {
-    pub lines: Rc<Lines>,
+    pub connections: Rc<Connections>,
     open: Cell<usize>,
     closed: Notify,
     most: usize,
+    /// No new connections are taken but those that wait to be.
+    leaving: Cell<bool>,
+    leave: Notify,
     pub sessions: Rc<Sessions>,
     /// Statements that began to come since the start.
     pub begun: Cell<u64>,
@@ -73,24 +76,33 @@
 
 impl Front {
     pub fn new(bounds: &Bounds) -> Rc<Front> {
-        let lines = Rc::new(Lines::of_clients(HEAD_WITHIN, IDLE));
+        let connections = Rc::new(Connections::of_clients(bounds.clients / 16, HEAD_WITHIN, IDLE));
         // Answers are kept for a while after they were given.
         let sessions = Rc::new(Sessions::new(2 * bounds.stmts));
         let (open, begun) = (Cell::new(0), Cell::new(0));
-        Rc::new(Front { lines, open, closed: Notify::new(), most: bounds.clients, sessions, begun })
+        let (leaving, leave) = (Cell::new(false), Notify::new());
+        let (most, closed) = (bounds.clients, Notify::new());
+        Rc::new(Front { connections, open, closed, most, leaving, leave, sessions, begun })
     }
 
-    /// Accepts for as long as it is polled.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, core: Rc<Core>) -> io::Result<Infallible> {
+    /// Takes what waits to be accepted, and no more.
+    pub fn stop_accepting(&self) {
+        self.leaving.set(true);
+        self.leave.notify_one();
+        self.closed.notify_one();
+    }
+
+    /// Accepts until it is told to stop.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, core: Rc<Core>) -> io::Result<()> {
         let served = core.clone();
         let this = self.clone();
         let asked = core.clone();
-        let service = HttpService::<Link, _, _>::build()
+        let service = HttpService::<Stream, _, _>::build()
             .keep_alive(IDLE)
             .client_request_timeout(HEAD_WITHIN)
             .client_disconnect_timeout(UNREAD)
             .h1_allow_half_closed(true)
-            .on_connect_ext(|link: &Link, ext: &mut actix_http::Extensions| {
+            .on_connect_ext(|link: &Stream, ext: &mut actix_http::Extensions| {
                 ext.insert(link.0.clone());
             })
             .expect(fn_service(move |request: Request| {
@@ -110,13 +122,18 @@
         let service = service.new_service(()).await.map_err(|()| io::Error::other("no service"))?;
         let service = Rc::new(service);
         let mut refused = false;
-        loop {
+        while !self.leaving.get() {
             // At the bound one that no call is open on makes room; where all are in use, new ones wait for one to end.
-            while self.open.get() >= self.most {
-                self.lines.close_least_used(SETTLED, RESTED);
+            while !self.leaving.get() && self.open.get() + self.connections.linger.count() >= self.most {
+                self.connections.close_least_used(SETTLED, RESTED);
                 let _ = timeout(AT_BOUND, self.closed.notified()).await;
             }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                () = self.leave.notified() => break,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, from)) => {
                     refused = false;
                     self.clone().connect(&service, stream, from, &core);
@@ -125,18 +142,27 @@
                     if !std::mem::replace(&mut refused, true) {
                         slog::warn!(core.log, "connection not accepted"; "error" => %error);
                     }
+                    // Most likely for want of descriptors, whatever the bound is: idle connections make room.
+                    self.connections.close_least_used(SETTLED, RESTED);
                     sleep(Duration::from_millis(20)).await;
                 }
             }
         }
+        // The machine has taken these already: closing the listener would reset them, with a call on them.
+        let listener = listener.into_std()?;
+        while let Ok((stream, from)) = listener.accept() {
+            stream.set_nonblocking(true)?;
+            self.clone().connect(&service, TcpStream::from_std(stream)?, from, &core);
+        }
+        Ok(())
     }
 
     fn connect<S>(self: Rc<Self>, service: &Rc<S>, stream: TcpStream, from: SocketAddr, core: &Rc<Core>)
     where
-        S: actix_service::Service<(Link, Protocol, Option<SocketAddr>), Error = DispatchError> + 'static,
+        S: actix_service::Service<(Stream, Protocol, Option<SocketAddr>), Error = DispatchError> + 'static,
     {
         let core = core.clone();
-        let call = service.call((self.lines.link(stream), Protocol::Http1, Some(from)));
+        let call = service.call((self.connections.link(stream), Protocol::Http1, Some(from)));
         self.open.set(self.open.get() + 1);
         actix_rt::spawn(async move {
             if let Err(DispatchError::Parse(_)) = call.await {
@@ -148,20 +174,22 @@
     }
 
     async fn call(&self, core: Rc<Core>, mut request: Request) -> Response<BoxBody> {
-        let line = request.conn_data::<Rc<Line>>().cloned();
-        if let Some(line) = line.as_ref().filter(|line| line.is_condemned()) {
+        let connection = request.conn_data::<Rc<Connection>>().cloned();
+        if let Some(connection) = connection.as_ref().filter(|connection| connection.is_condemned()) {
             // It came behind a call that was refused: it may be a part of that, and is not answered.
             sleep(BEHIND).await;
-            line.close();
+            connection.close();
             return refusal(StatusCode::BAD_REQUEST, "behind a refused call");
         }
-        let begun = line.as_ref().map_or_else(Instant::now, |line| line.open(core.bounds.statement + AHEAD));
-        let _open = line.clone().map(Open);
+        let begun = connection
+            .as_ref()
+            .map_or_else(Instant::now, |connection| connection.open(core.bounds.statement + AHEAD));
+        let _open = connection.clone().map(Open);
         let payload = request.take_payload();
         let path = request.path().strip_prefix(STATEMENTS);
         let response = match (request.method(), path) {
             // Bare line feeds, and what would turn the connection to another protocol.
-            _ if line.as_ref().is_some_and(|line| line.is_odd()) => {
+            _ if connection.as_ref().is_some_and(|connection| connection.is_odd()) => {
                 refusal(StatusCode::BAD_REQUEST, "a line of the head does not end as it should")
             }
             _ if request.headers().contains_key(header::UPGRADE) => {
@@ -175,18 +203,20 @@
                 let workload = workload.rsplit('/').next().unwrap_or(workload).to_string();
                 let text_by = begun + TEXT_WITHIN;
                 let (headers, sessions) = (request.headers(), &self.sessions);
-                match statement(&core, sessions, &workload, headers, payload, text_by, line.clone()).await {
+                match statement(&core, sessions, &workload, headers, payload, text_by, connection.clone())
+                    .await
+                {
                     Ok(response) => response,
                     Err((status, why)) => {
                         core.bad_call(why);
-                        return close_behind(refusal(status, why), line.as_deref());
+                        return close_behind(refusal(status, why), connection.as_deref());
                     }
                 }
             }
             (&Method::GET, Some(path)) => {
                 match self.sessions.get(path.strip_prefix(NEXT).unwrap_or_default()) {
                     Some(session) => {
-                        let answer = session.wait(NEXT_WITHIN, ended(line.as_deref())).await;
+                        let answer = session.wait(NEXT_WITHIN, ended(connection.as_deref())).await;
                         tell_unkept(next(&session.path, answer), session.unkept.as_ref())
                     }
                     None => refusal(StatusCode::NOT_FOUND, "no such result"),
@@ -208,27 +238,27 @@
             return response;
         }
         core.bad_call(response.status().canonical_reason().unwrap_or("other"));
-        close_behind(response, line.as_deref())
+        close_behind(response, connection.as_deref())
     }
 }
 
 /// Whoever sends what is refused has lost count of the connection, or never had it: it carries no further call.
-pub fn close_behind(mut response: Response<BoxBody>, line: Option<&Line>) -> Response<BoxBody> {
+pub fn close_behind(mut response: Response<BoxBody>, connection: Option<&Connection>) -> Response<BoxBody> {
     response.head_mut().set_connection_type(ConnectionType::Close);
-    line.into_iter().for_each(Line::condemn);
+    connection.into_iter().for_each(Connection::condemn);
     response
 }
 
 /// Returns once the client has closed its side of the connection.
-async fn ended(line: Option<&Line>) {
-    match line {
-        Some(line) => line.ended().await,
+async fn ended(connection: Option<&Connection>) {
+    match connection {
+        Some(connection) => connection.ended().await,
         None => std::future::pending().await,
     }
 }
 
 /// While it lives, a call is open on the connection.
-struct Open(Rc<Line>);
+struct Open(Rc<Connection>);
 
 impl Drop for Open {
     fn drop(&mut self) {
@@ -259,10 +289,10 @@
     headers: &HeaderMap,
     payload: Payload,
     text_by: Instant,
-    line: Option<Rc<Line>>,
+    connection: Option<Rc<Connection>>,
 ) -> Result<Response<BoxBody>, Refused> {
     let asked = read_head(core, workload, headers)?;
-    let came = intake::take(core, payload, headers, asked.0.workload, text_by, line.as_deref());
+    let came = intake::take(core, payload, headers, asked.0.workload, text_by, connection.as_deref());
     let (text, mut rest) = match came.await? {
         Came::Whole(text) => (Text::Whole(text), None),
         Came::Kept(body) => (Text::Body(body), None),
@@ -270,7 +300,7 @@
         // Nothing was sent: harmless to repeat, and what still comes of it is not read.
         Came::NoRoom => {
             let response = next("", Some(Answer::Rejected(core.stay_away)));
-            return Ok(close_behind(response, line.as_deref()));
+            return Ok(close_behind(response, connection.as_deref()));
         }
     };
     let (mut said, mut parcel) = asked;
@@ -295,13 +325,13 @@
             answered = &mut answer => {
                 waiting.id = None;
                 let response = next("", Some(answered.unwrap_or(Answer::Aborted)));
-                return Ok(close_behind(tell_unkept(response, unkept.as_ref()), line.as_deref()));
+                return Ok(close_behind(tell_unkept(response, unkept.as_ref()), connection.as_deref()));
             }
-            came = rest.pass_on(core, line.as_deref()) => came?,
+            came = rest.pass_on(core, connection.as_deref()) => came?,
         }
     }
     let left = async {
-        ended(line.as_deref()).await;
+        ended(connection.as_deref()).await;
         // The client has left, or sends no more: with either, no answer is awaited for long.
         core.input(Input::Left(id.clone()));
         std::future::pending::<Infallible>().await
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,8 +1,8 @@
 //! Texts as they come from clients: ordinary ones whole into memory, larger ones to where they are kept, or through to an
 //! engine. It reads, and decides nothing: where a text goes is the ledger's to say.
 
+use crate::connection::Connection;
 use crate::front::{close_behind, next, refusal, Refused, AHEAD, STATEMENTS};
-use crate::link::Line;
 use crate::reducer::Answer;
 use crate::runtime::Core;
 use actix_http::body::BoxBody;
@@ -102,7 +102,7 @@
     headers: &HeaderMap,
     workload: usize,
     text_by: Instant,
-    line: Option<&Line>,
+    connection: Option<&Connection>,
 ) -> Result<Came, Refused> {
     let (ordinary, largest) = (core.bounds.statement as u64, core.bodies.largest());
     let told = told_length(headers);
@@ -114,8 +114,8 @@
     while told.is_none_or(|told| told <= ordinary) {
         let part = timeout_at(text_by.into(), payload.next()).await.map_err(|_| TOO_SLOW)?;
         let Some(part) = part else {
-            if let Some(line) = line {
-                line.has_come(AHEAD);
+            if let Some(connection) = connection {
+                connection.has_come(AHEAD);
             }
             return whole(parts, length as usize).map(Came::Whole);
         };
@@ -130,7 +130,7 @@
         return Err(TOO_LARGE);
     }
     // From here on what may be read ahead is bounded by what is taken from actix-http.
-    line.into_iter().for_each(|line| line.allow(usize::MAX));
+    connection.into_iter().for_each(|connection| connection.allow(usize::MAX));
     if core.turns_away() {
         return Ok(Came::NoRoom);
     }
@@ -156,7 +156,7 @@
                 }
             }
             None => {
-                if let Some(came) = rest.end(line).await? {
+                if let Some(came) = rest.end(connection).await? {
                     return Ok(came);
                 }
                 return Ok(match body.tier() {
@@ -200,11 +200,11 @@
         self.refused(put)
     }
 
-    async fn end(&mut self, line: Option<&Line>) -> Result<Option<Came>, Refused> {
+    async fn end(&mut self, connection: Option<&Connection>) -> Result<Option<Came>, Refused> {
         if !self.look.is_text() {
             return Err(NO_TEXT);
         }
-        line.into_iter().for_each(|line| line.has_come(AHEAD));
+        connection.into_iter().for_each(|connection| connection.has_come(AHEAD));
         let ended = self.body.end().await;
         self.refused(ended)
     }
@@ -218,11 +218,11 @@
     }
 
     /// The rest of a text that is not kept, to the engine that has it.
-    pub async fn pass_on(&mut self, core: &Core, line: Option<&Line>) -> Result<(), Refused> {
+    pub async fn pass_on(&mut self, core: &Core, connection: Option<&Connection>) -> Result<(), Refused> {
         while !self.body.is_whole() {
             match self.next(core).await? {
                 Some(part) => self.put(part).await.map(drop)?,
-                None => self.end(line).await.map(drop)?,
+                None => self.end(connection).await.map(drop)?,
             }
         }
         Ok(())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,13 +3,13 @@
 
 pub mod cli;
 pub mod config;
+mod connection;
 mod engines;
 mod exchange;
 mod fleet;
 mod front;
 mod intake;
 pub mod invariants;
-mod link;
 pub mod names;
 pub mod operators;
 mod peers;
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -22,12 +22,15 @@
 const AGAIN: Duration = Duration::from_millis(40);
 const LONGEST: usize = 8_000;
 /// Questions that an answer may yet come for: a late one is as good as any other of its number.
-const AWAITED: usize = 8;
+const AWAITED: usize = 20;
+/// Questions in a row without a usable answer after which they are asked from a new socket: a path may have fallen silent for
+/// one, and stay so. Answers to the one before are still heard until the next.
+const FRESH_SOCKET: u32 = 8;
 /// Answers in a row with an earlier number (half a minute of them) after which the name service itself is taken to have
 /// gone back.
 const GONE_BACK: u32 = 200;
-/// For how long nothing usable may come before that is told.
-const SILENT: Duration = Duration::from_secs(3);
+/// For how long nothing usable may come before that is told: quiet is no good news.
+const SILENT: Duration = Duration::from_millis(1200);
 
 /// The list as it stands after an event with this number.
 #[derive(Clone, Debug)]
@@ -93,7 +96,11 @@
 /// Asks the name service for as long as it is polled.
 pub struct Asker {
     /// None where there is no name service: the list then stays as it was told.
+    server: Option<SocketAddr>,
+    /// None for as long as none can be had; and the one before it.
     socket: Option<UdpSocket>,
+    earlier_socket: Option<UdpSocket>,
+    since_dialled: u32,
     rng: WyRand,
     name: Name,
     no: u64,
@@ -103,7 +110,7 @@
     awaited: VecDeque<u16>,
     /// Questions without a usable answer since the last one, when that was, and whether silence was told.
     unanswered: u32,
-    heard: Instant,
+    heard: Rc<Cell<Instant>>,
     silent: bool,
     /// Answers that were of no use, since the start.
     pub passed_over: Rc<Cell<u64>>,
@@ -111,7 +118,7 @@
 }
 
 /// A socket for one name service: what others send to it never arrives.
-pub fn dial(server: SocketAddr) -> std::io::Result<UdpSocket> {
+fn dial(server: SocketAddr) -> std::io::Result<UdpSocket> {
     let local: IpAddr = match server {
         SocketAddr::V4(_) => IpAddr::from([0, 0, 0, 0]),
         SocketAddr::V6(_) => IpAddr::from([0; 16]),
@@ -123,11 +130,14 @@
 }
 
 impl Asker {
-    pub fn start(socket: Option<UdpSocket>, no: u64, seed: u64, log: Logger) -> std::io::Result<Asker> {
+    pub fn start(server: Option<SocketAddr>, no: u64, seed: u64, log: Logger) -> std::io::Result<Asker> {
         let name = Name::from_str(SERVICE).map_err(std::io::Error::other)?;
         let now = Instant::now();
         Ok(Asker {
-            socket,
+            server,
+            socket: None,
+            earlier_socket: None,
+            since_dialled: 0,
             rng: WyRand::new_seed(seed),
             name,
             no,
@@ -135,7 +145,7 @@
             next: now,
             awaited: VecDeque::new(),
             unanswered: 0,
-            heard: now,
+            heard: Rc::new(Cell::new(now)),
             silent: false,
             passed_over: Rc::default(),
             log,
@@ -143,12 +153,18 @@
     }
 
     /// Asks there from now on, at once; the numbers go on.
-    pub fn turn_to(&mut self, socket: Option<UdpSocket>) {
-        self.socket = socket;
+    pub fn turn_to(&mut self, server: Option<SocketAddr>) {
+        self.server = server;
+        (self.socket, self.earlier_socket) = (None, None);
         self.awaited.clear();
         self.next = Instant::now();
     }
 
+    /// When the list was last confirmed, for whoever shows its age.
+    pub fn heard(&self) -> Rc<Cell<Instant>> {
+        self.heard.clone()
+    }
+
     /// A list from elsewhere is in force unless a later one is.
     pub fn told(&mut self, no: u64) -> bool {
         let later = no > self.no;
@@ -165,7 +181,7 @@
                 return Word::List(known);
             }
             self.unanswered = self.unanswered.saturating_add(1);
-            if !self.silent && self.heard.elapsed() > SILENT {
+            if !self.silent && self.heard.get().elapsed() > SILENT {
                 self.silent = true;
                 slog::warn!(self.log, "name service silent: the list may be old"; "no" => self.no);
                 return Word::Silent;
@@ -174,7 +190,15 @@
     }
 
     async fn ask(&mut self) -> Option<Known> {
-        let Some(socket) = &self.socket else { return std::future::pending().await };
+        let Some(server) = self.server else { return std::future::pending().await };
+        if self.socket.is_none() || self.since_dialled >= FRESH_SOCKET {
+            // Where none can be had now, the old one serves on, and it is tried again in time.
+            if let Ok(fresh) = dial(server) {
+                self.earlier_socket = self.socket.replace(fresh);
+            }
+            self.since_dialled = 0;
+        }
+        self.since_dialled += 1;
         let mut question = Message::query();
         question.metadata.id = self.rng.generate();
         question.add_query(Query::query(self.name.clone(), RecordType::SRV));
@@ -183,10 +207,22 @@
             self.awaited.pop_front();
         }
         // Where it cannot be sent or nobody listens, the next question comes in its time.
-        let _ = socket.send(&question.to_vec().ok()?).await;
-        let mut bytes = [0; LONGEST];
+        if let Some(socket) = &self.socket {
+            let _ = socket.send(&question.to_vec().ok()?).await;
+        }
+        let (mut bytes, mut late) = ([0; LONGEST], [0; LONGEST]);
         loop {
-            let Ok(read) = timeout_at(self.next, socket.recv(&mut bytes)).await else { return None };
+            let read = async {
+                tokio::select! {
+                    read = receive(&self.socket, &mut bytes) => read,
+                    read = receive(&self.earlier_socket, &mut late) => {
+                        let length = read?;
+                        bytes[..length].copy_from_slice(&late[..length]);
+                        Ok(length)
+                    }
+                }
+            };
+            let Ok(read) = timeout_at(self.next, read).await else { return None };
             let Ok(length) = read else { continue };
             let word = Message::from_vec(&bytes[..length]).ok().filter(|answer| {
                 let ours = answer.queries.first().is_none_or(|q| q.name() == &self.name);
@@ -217,11 +253,19 @@
             slog::info!(self.log, "name service answers again"; "unanswered" => self.unanswered);
         }
         (self.no, self.earlier, self.unanswered, self.silent) = (known.no, 0, 0, false);
-        self.heard = Instant::now();
+        self.since_dialled = 0;
+        self.heard.set(Instant::now());
         news.then_some(known)
     }
 }
 
+async fn receive(socket: &Option<UdpSocket>, bytes: &mut [u8]) -> std::io::Result<usize> {
+    match socket {
+        Some(socket) => socket.recv(bytes).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// None where the answer holds no whole list.
 pub fn read_answer(answer: &Message, service: &Name) -> Option<Known> {
     if answer.metadata.response_code != ResponseCode::NoError || answer.metadata.truncation {
@@ -265,15 +309,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn earlier_numbers_count_once_they_have_stayed_for_half_a_minute() {
-        let mut asker = Asker::start(None, 5, 7, Logger::root(slog::Discard, slog::o!())).unwrap();
-        let mut news = |no| asker.news(Known { no, list: Vec::new() }).is_some();
-        let earlier = |news: &mut dyn FnMut(u64) -> bool| (1..GONE_BACK).any(|_| news(4));
-        assert!(!earlier(&mut news) && !news(5));
-        assert!(!earlier(&mut news) && news(4));
-    }
-}
+mod tests;
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -57,6 +57,8 @@
     Statement(Taken),
     /// The client has left, or its connection has.
     Left(Id),
+    /// No call of its client is open, or one is again.
+    Absent(Id, bool),
     /// Its text can't be sent again any more.
     Unkept(Id),
     Noted {
@@ -88,7 +90,9 @@
     Depart,
     /// Something may be due.
     Wake,
-    /// The gateway closes: what is still unanswered is aborted.
+    /// The gateway will close: what it begins from now on has to be over by then.
+    Closing(Duration),
+    /// The gateway closes: what is still unanswered is aborted, and what yet comes is turned away.
     Close,
 }
 
@@ -321,6 +325,7 @@
         match input {
             Input::Statement(taken) => self.take(now, taken),
             Input::Left(id) => self.left(&id),
+            Input::Absent(id, absent) => self.news.push_back(Event::Absent(id, absent)),
             Input::Unkept(id) => self.news.push_back(Event::Unkept(id)),
             Input::Noted { id, execution, note } => {
                 if let Some(engine) = self.out(&id, execution).map(|x| x.engine.clone()) {
@@ -351,7 +356,8 @@
                 self.carry_on(now, said.unwrap_or_default());
             }
             Input::Wake => {}
-            Input::Close => self.close(),
+            Input::Closing(by) => self.news.push_back(Event::Closing(by)),
+            Input::Close => self.close(now),
         }
         self.settle(now);
         // One at a time: a loop that was late must not take a statement's end before what leads to it.
@@ -450,6 +456,12 @@
         self.fleet_due = policy.into_iter().chain([node.due(now)]).min();
     }
 
+    /// Whether an execution may still go out, as its first byte is about to: a client may have left since it was decided, its
+    /// engine begun to drain, the time for a repeat run out.
+    pub fn may_go_out(&self, now: Duration, id: &Id, execution: usize) -> bool {
+        self.chooser.lapsed(now, id, execution).is_none()
+    }
+
     /// What it decides by of the fleet's policy.
     pub fn policy(&self) -> Option<&policy::Node> {
         self.policy.as_ref().map(|policy| &policy.node)
@@ -504,7 +516,8 @@
         }
         if self.stmts.len() >= self.most {
             self.counts.at_bound += 1;
-            return self.effects.push(Effect::Answer { caller, answer: Answer::Rejected(None) });
+            let answer = Answer::Rejected(self.chooser.retry_in(said.workload));
+            return self.effects.push(Effect::Answer { caller, answer });
         }
         self.counts.taken += 1;
         self.open += 1;
@@ -532,7 +545,8 @@
         }
     }
 
-    fn close(&mut self) {
+    fn close(&mut self, now: Duration) {
+        self.news.push_back(Event::Closing(now));
         let open = self.stmts.iter().filter(|(_, s)| s.open.is_some()).map(|(id, _)| id.clone());
         for id in open.collect::<Vec<_>>() {
             self.counts.aborted += 1;
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -4,7 +4,7 @@
 use crate::engines::{Engines, Job};
 use crate::fleet::{machine_time, Link};
 use crate::front::Front;
-use crate::names::{dial, Asker, Known, Word};
+use crate::names::{Asker, Known, Word};
 use crate::operators::{self, Bodies};
 use crate::peers::Peers;
 use crate::policy;
@@ -27,7 +27,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, Notify};
 
 /// How often idle connections are looked through, and how often figures are logged.
@@ -42,6 +41,11 @@
 const STOP_WITHIN: Duration = Duration::from_millis(150);
 /// Time for the last answers to be written, and asked for where clients come back for them.
 const LAST_WORDS: Duration = Duration::from_millis(250);
+/// How often a gateway that leaves looks whether it may, and how long it must have been quiet once it accepts no more.
+const LOOK: Duration = Duration::from_millis(20);
+const QUIET: Duration = Duration::from_millis(60);
+/// Connections that were let go are read out for so long, so that no answer on its way is destroyed by a reset.
+const READ_OUT: Duration = Duration::from_millis(100);
 
 /// A clock that counts on while the machine sleeps; or, in tests, one that is wrong on purpose.
 pub type Ticks = Rc<dyn Fn() -> Duration>;
@@ -92,7 +96,7 @@
 /// Several reloads may come before the first is taken in: the last word on each counts.
 #[derive(Default)]
 struct Turn {
-    names: Option<Option<UdpSocket>>,
+    names: Option<Option<SocketAddr>>,
     known: Option<Known>,
 }
 
@@ -118,6 +122,8 @@
     fleet: Option<Link>,
     policy: Option<policy::Disk>,
     names_passed_over: Rc<Cell<u64>>,
+    /// When the list was last confirmed.
+    list_heard: Rc<Cell<TimerInstant>>,
     callers: Cell<u64>,
     answers: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     running: RefCell<HashMap<(Id, usize), JoinHandle<()>>>,
@@ -203,10 +209,17 @@
                 let stopping = self.stopping.borrow_mut().remove(&(id.clone(), engine));
                 let key = (id.clone(), execution);
                 let task = actix_rt::spawn(async move {
-                    if let Some(stopping) = stopping {
-                        let _ = timeout_after(STOP_WITHIN, stopping).await;
+                    if let Some(mut stopping) = stopping {
+                        // A cancel that came after the next execution would end that one.
+                        if timeout_after(STOP_WITHIN, &mut stopping).await.is_err() {
+                            stopping.abort();
+                        }
                     }
-                    let may = || not_after.is_none_or(|end| core.clock.now() <= end);
+                    let may = || {
+                        let now = core.clock.now();
+                        let due = not_after.is_none_or(|end| now <= end);
+                        due && core.reducer.borrow().may_go_out(now, &id, execution)
+                    };
                     let job = Job { address, parcel: &parcel, mem_mb, timeout, may: &may };
                     let noted = |note| core.input(Input::Noted { id: id.clone(), execution, note });
                     let ending = core.engines.run(job, noted).await;
@@ -324,6 +337,7 @@
         slog::info!(self.log, "figures"; "counts" => ?reducer.counts, "held" => reducer.held(),
             "open" => reducer.open(), "ill" => ?ill, "bad_calls" => ?self.bad_calls.borrow(),
             "asked_again" => self.engines.asked_again(), "names_passed_over" => self.names_passed_over.get(),
+            "list_age_ms" => self.list_heard.get().elapsed().as_millis() as u64,
             "peers_passed_over" => self.peers.as_ref().map_or(0, Peers::passed_over),
             "bodies" => ?self.bodies.counts(), "written" => ?self.bodies.written(),
             "bodies_fault" => self.bodies.take_fault(),
@@ -381,13 +395,13 @@
                 Some(link.map_err(|e| named("fleet", &terms.listen, e))?)
             }
         };
-        let names = start.names.map(|server| dial(server).map_err(|e| named("names", &server, e)));
-        let asker = Asker::start(names.transpose()?, start.known.no, start.seed, log.clone())?;
+        let asker = Asker::start(start.names, start.known.no, start.seed, log.clone())?;
         let in_force = RefCell::new((start.names, start.peers.clone()));
         let ticks = start.fleet.is_some().then(|| ticks.unwrap_or_else(|| Rc::new(machine_time)));
         let clock = Clock::new(ticks);
-        let engines =
-            Engines::new(start.bounds.clone(), start.words.clone(), start.dial_timeout, start.engine_idle);
+        let (one_at_a_time, idle) = (!start.site.second_copies, start.engine_idle);
+        let (bounds, words) = (start.bounds.clone(), start.words.clone());
+        let engines = Engines::new(bounds, words, start.dial_timeout, idle, one_at_a_time);
         let deduplicated = |w: &WorkloadTerms| matches!(w.effect, Repeat::Deduplicated(_));
         let keyed = start.site.workloads.iter().map(deduplicated).collect();
         let (bodies, folder) = keeper(&start.operators.bodies, disk, &log)?;
@@ -430,6 +444,7 @@
             fleet,
             policy,
             names_passed_over: asker.passed_over.clone(),
+            list_heard: asker.heard(),
             callers: Cell::new(0),
             answers: RefCell::default(),
             running: RefCell::default(),
@@ -462,15 +477,18 @@
         }
         let (accepting, log) = (front.clone().accept(listener, core.clone()), core.log.clone());
         tasks.push(actix_rt::spawn(async move {
-            let Err(error) = accepting.await;
-            slog::error!(log, "no longer accepting"; "error" => %error);
+            if let Err(error) = accepting.await {
+                slog::error!(log, "no longer accepting"; "error" => %error);
+            }
         }));
+        let linger = front.connections.linger.clone();
+        tasks.push(actix_rt::spawn(async move { linger.run().await }));
         let (swept, engines) = (front.clone(), core.clone());
         tasks.push(actix_rt::spawn(async move {
             let mut logged = Instant::now();
             loop {
                 sleep(SWEEP).await;
-                swept.lines.sweep();
+                swept.connections.sweep();
                 engines.engines.sweep();
                 engines.write_status();
                 if logged.elapsed() >= FIGURES {
@@ -492,10 +510,7 @@
         let (names, peers) = &*in_force;
         let mut turned = self.core.turned.borrow_mut();
         if start.names != *names {
-            match start.names.map(dial).transpose() {
-                Ok(socket) => turned.names = Some(socket),
-                Err(error) => return slog::error!(log, "configuration not reloaded: names: {}", error),
-            }
+            turned.names = Some(start.names);
         }
         let mut waits = self.at_start.changed(&start.at_start);
         // Whether messages are exchanged at all is settled at the start.
@@ -531,35 +546,52 @@
         self.address
     }
 
-    /// Goes on serving until all that was taken is answered and no new statements come; what is still open when
-    /// its time is over is aborted.
+    /// Goes on serving until all that was taken is answered and no new statements come; what is still open when its time is over is
+    /// aborted, and what could not end by then is turned away instead of being begun. Then it accepts no more, answers what had
+    /// been accepted, shuts its connections for writing, reads them out and closes.
     pub async fn shut_down(self) {
         let began = Instant::now();
         slog::info!(self.core.log, "closing");
-        let mut last = (self.front.begun.get(), began);
-        while began.elapsed() < LEAVE_AT_LEAST.max(self.leave_within + LEAVE_SLACK) {
-            sleep(Duration::from_millis(20)).await;
-            if self.front.begun.get() != last.0 {
-                last = (self.front.begun.get(), Instant::now());
-            }
-            let quiet = last.1.elapsed() >= LEAVE_AT_LEAST / 3 && began.elapsed() >= LEAVE_AT_LEAST;
-            if quiet && self.core.reducer.borrow().open() == 0 && self.front.sessions.owed() == 0 {
-                break;
-            }
-        }
+        let within = LEAVE_AT_LEAST.max(self.leave_within + LEAVE_SLACK);
+        self.core.input(Input::Closing(self.core.clock.now() + within));
+        let left = || within.saturating_sub(began.elapsed());
+        self.quiet(LEAVE_AT_LEAST / 3, |_| began.elapsed() >= LEAVE_AT_LEAST, left).await;
+        self.front.stop_accepting();
+        self.quiet(QUIET, |front| front.connections.open_calls() == 0, left).await;
         self.core.input(Input::Close);
         let closed = Instant::now();
+        let owed = || self.front.sessions.owed() + self.front.connections.open_calls() > 0;
         sleep(LAST_WORDS / 4).await;
-        while self.front.sessions.owed() > 0 && closed.elapsed() < LAST_WORDS {
+        while owed() && closed.elapsed() < LAST_WORDS {
             sleep(LAST_WORDS / 20).await;
         }
         // Said more than once, as it may be lost: else what this gateway had is free only once its leave has ended.
         for _ in 0..3 {
             self.core.input(Input::Depart);
         }
+        self.front.connections.part_from_all();
+        let parted = Instant::now();
+        while self.front.connections.linger.count() > 0 && parted.elapsed() < READ_OUT {
+            sleep(LOOK / 4).await;
+        }
         self.core.log_figures();
         slog::info!(self.core.log, "closed");
     }
+
+    /// Returns once no statement has begun to come for so long, none is open, no answer is owed and `more` holds, or no time is left.
+    async fn quiet(&self, for_: Duration, more: impl Fn(&Front) -> bool, left: impl Fn() -> Duration) {
+        let mut last = (self.front.begun.get(), Instant::now());
+        while !left().is_zero() {
+            sleep(LOOK).await;
+            if self.front.begun.get() != last.0 {
+                last = (self.front.begun.get(), Instant::now());
+            }
+            let none = self.core.reducer.borrow().open() == 0 && self.front.sessions.owed() == 0;
+            if none && last.1.elapsed() >= for_ && more(&self.front) {
+                return;
+            }
+        }
+    }
 }
 
 impl Drop for Gateway {
@@ -568,7 +600,7 @@
         self.tasks.iter().for_each(JoinHandle::abort);
         self.core.running.borrow().values().for_each(JoinHandle::abort);
         self.core.stopping.borrow().values().for_each(JoinHandle::abort);
-        self.front.lines.close_all();
+        self.front.connections.close_all();
         self.core.engines.close_all();
         self.folder.iter().for_each(|folder| folder.remove());
     }
--- a/crates/gateway/src/sessions.rs
+++ b/crates/gateway/src/sessions.rs
@@ -3,7 +3,7 @@
 
 use crate::reducer::{Answer, Input};
 use crate::runtime::Core;
-use actix_rt::time::{sleep, timeout};
+use actix_rt::time::{sleep_until, timeout};
 use bramblewharf::interface::Id;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -12,10 +12,11 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, Notify};
 
-/// A client that does not come back for so long has left, and an answer is kept for so long after it was asked for.
-const ABSENT: Duration = Duration::from_secs(2);
-/// How often that is looked at.
-const LOOK: Duration = Duration::from_millis(250);
+/// A client without a call open for so long is absent, and nothing new begins for it: it may have gone. It calls again at once
+/// where its connection broke.
+const ABSENT: Duration = Duration::from_millis(80);
+/// One that does not come back for so long has left, and an answer is kept for so long after it was asked for.
+const LEFT: Duration = Duration::from_secs(2);
 
 pub struct Session {
     id: Id,
@@ -23,9 +24,10 @@
     pub path: String,
     answer: RefCell<Option<Answer>>,
     answered: Notify,
-    /// Calls that wait now, and when the last one ended.
+    /// Calls that wait now, when the last one ended, and that a first one came or the last one ended.
     waiting: Cell<usize>,
     seen: Cell<Instant>,
+    called: Notify,
     /// The answer was handed to a call.
     handed: Cell<bool>,
     /// The text was not kept, as that stands.
@@ -87,12 +89,14 @@
             answered: Notify::new(),
             waiting: Cell::new(0),
             seen: Cell::new(Instant::now()),
+            called: Notify::new(),
             handed: Cell::new(false),
             unkept,
         });
         self.by_path.borrow_mut().insert(path.clone(), session.clone());
         let (sessions, core) = (self.clone(), core.clone());
         actix_rt::spawn(async move {
+            let mut absent = false;
             loop {
                 tokio::select! {
                     biased;
@@ -100,16 +104,23 @@
                         session.give(answer.unwrap_or(Answer::Aborted));
                         break;
                     }
-                    () = sleep(LOOK) => {
-                        if session.absent() {
-                            // Its answer comes at once, by the same way.
-                            core.input(Input::Left(id.clone()));
-                        }
-                    }
+                    () = session.called.notified() => {}
+                    () = session.alone_for(if absent { LEFT } else { ABSENT }) => {}
+                }
+                let alone = session.alone();
+                if alone >= LEFT {
+                    // Its answer comes at once, by the same way.
+                    core.input(Input::Left(id.clone()));
+                } else if absent != (alone >= ABSENT) {
+                    absent = !absent;
+                    core.input(Input::Absent(id.clone(), absent));
                 }
             }
-            while !session.absent() {
-                sleep(LOOK).await;
+            while session.alone() < LEFT {
+                tokio::select! {
+                    () = session.called.notified() => {}
+                    () = session.alone_for(LEFT) => {}
+                }
             }
             sessions.by_path.borrow_mut().remove(&session.path);
         });
@@ -123,8 +134,21 @@
         self.answered.notify_waiters();
     }
 
-    fn absent(&self) -> bool {
-        self.waiting.get() == 0 && self.seen.get().elapsed() > ABSENT
+    /// How long no call has been open.
+    fn alone(&self) -> Duration {
+        if self.waiting.get() == 0 {
+            self.seen.get().elapsed()
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Returns once no call has been open for so long; never while one is.
+    async fn alone_for(&self, span: Duration) {
+        match self.waiting.get() {
+            0 => sleep_until((self.seen.get() + span).into()).await,
+            _ => std::future::pending().await,
+        }
     }
 
     /// The answer, if it comes within `within` and before `gone`.
@@ -134,6 +158,7 @@
         gone: impl std::future::Future<Output = ()>,
     ) -> Option<Answer> {
         self.waiting.set(self.waiting.get() + 1);
+        self.called.notify_one();
         let _call = Calling(self);
         let answered = async {
             while self.answer.borrow().is_none() {
@@ -157,5 +182,6 @@
     fn drop(&mut self) {
         self.0.waiting.set(self.0.waiting.get() - 1);
         self.0.seen.set(Instant::now());
+        self.0.called.notify_one();
     }
 }
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -2,7 +2,7 @@
 //! has come is heard at once. The clock of an answer runs from the last piece, and neither a client that is slow nor a disk
 //! counts against the engine.
 
-use crate::link::Line;
+use crate::connection::Connection;
 use actix_http::body::{BodySize, MessageBody};
 use actix_rt::time::sleep;
 use bramblewharf_bodies::keeper::Pace;
@@ -70,13 +70,13 @@
 /// Who watches over it.
 pub struct Upload {
     pace: Rc<Pace>,
-    line: Rc<Line>,
+    connection: Rc<Connection>,
     cut: Rc<Cut>,
 }
 
 impl Upload {
-    pub fn new(outgoing: &Outgoing, line: Rc<Line>) -> Upload {
-        Upload { pace: outgoing.pace.clone(), line, cut: Rc::default() }
+    pub fn new(outgoing: &Outgoing, connection: Rc<Connection>) -> Upload {
+        Upload { pace: outgoing.pace.clone(), connection, cut: Rc::default() }
     }
 
     pub fn cut(&self) -> Rc<Cut> {
@@ -93,7 +93,7 @@
                 reply = &mut answered => return reply,
                 () = sleep(LOOK) => {}
             }
-            if !self.cut.cut.get() && !self.pace.ended.get() && self.line.answers_early() {
+            if !self.cut.cut.get() && !self.pace.ended.get() && self.connection.answers_early() {
                 self.cut.cut.set(true);
                 self.pace.moved.set(std::time::Instant::now());
                 self.cut.waker.take().into_iter().for_each(Waker::wake);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A gateway that serves in a thread of its own, and clients that ask it.
 #![allow(dead_code)]
 
+pub mod names;
+
 use bramblewharf_bodies::ledger::Counts;
 use bramblewharf_bodies::spool::Disk;
 use bramblewharf_gateway::operators::Operators;
--- /dev/null
+++ b/crates/gateway/tests/common/names.rs
@@ -0,0 +1,56 @@
+//! A stand-in of the name service.
+
+use hickory_proto::op::{Message, MessageType};
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::mpsc;
+
+/// The id of a question, for the answer to it.
+pub fn question_id(bytes: &[u8]) -> u16 {
+    Message::from_vec(bytes).unwrap().metadata.id
+}
+
+pub const SERVICE: &str = "_rpc._tcp.mesh.local.";
+
+/// The name service's answer: engines by id, address and priority.
+pub fn list_answer(id: u16, serial: u32, engines: &[(&str, SocketAddr, u16)]) -> Message {
+    let name = |text: &str| Name::from_ascii(text).unwrap();
+    let record = |owner: &str, data| Record::from_rdata(name(owner), 0, data);
+    let mut message = Message::query();
+    (message.metadata.id, message.metadata.message_type) = (id, MessageType::Response);
+    for (id, address, priority) in engines {
+        let target = format!("{id}.z.hosts.");
+        let srv = SRV::new(*priority, 40, address.port(), name(&target));
+        message.add_answer(record(SERVICE, RData::SRV(srv)));
+        message.add_additional(record(&target, RData::A(A(Ipv4Addr::LOCALHOST))));
+        let texts = vec!["kind=k".into(), "cell=2".into(), "started=1700000000000".into()];
+        message.add_additional(record(&target, RData::TXT(TXT::new(texts))));
+    }
+    let soa = SOA::new(name("mesh.local."), name("mesh.local."), serial, 1, 1, 1, 1);
+    message.add_authority(record("mesh.local.", RData::SOA(soa)));
+    message
+}
+
+/// Answers the nth question with what `answers` gives for its number and id; tells each question on a channel.
+pub fn name_service(
+    answers: impl Fn(usize, u16) -> Vec<Message> + Send + 'static,
+) -> (SocketAddr, mpsc::Receiver<usize>) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let (told, asked) = mpsc::channel();
+    std::thread::spawn(move || {
+        let mut bytes = [0; 512];
+        for number in 0.. {
+            let (length, from) = socket.recv_from(&mut bytes).unwrap();
+            let question = Message::from_vec(&bytes[..length]).unwrap();
+            for message in answers(number, question.metadata.id) {
+                socket.send_to(&message.to_vec().unwrap(), from).unwrap();
+            }
+            if told.send(number).is_err() {
+                return;
+            }
+        }
+    });
+    (address, asked)
+}
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -2,14 +2,14 @@
 
 mod common;
 use bramblewharf_gateway::config;
-use bramblewharf_gateway::names::{dial, read_answer, Asker, Word};
+use bramblewharf_gateway::names::{read_answer, Asker, Word};
 use bramblewharf_standins::{answer, nobody, read_message, Call, Engine, Reply, LONG};
 use bramblewharf_turns::words::Word as Told;
 use bramblewharf_turns::{Mark, Said};
+use common::names::*;
 use common::*;
-use hickory_proto::op::{Message, MessageType};
-use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
-use hickory_proto::rr::{Name, RData, Record};
+use hickory_proto::op::Message;
+use hickory_proto::rr::{Name, RData};
 use quickcheck::{Arbitrary, Gen};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -493,6 +493,7 @@
         engine.wait(|call| call.headers.get("x-ticket") == Some(&format!("{id:016x}")));
     }
     let rejected = served.ask(&call("read", 99, 60_000, ""));
+    assert!(rejected.headers["x-pushback-ms"].parse::<u64>().unwrap() <= 2000);
     assert_eq!((rejected.status, rejected.body), (503, json!({"abort": "Busy"})));
     *open.lock().unwrap() = true;
     for asked in held {
@@ -647,50 +648,6 @@
     served.thread.take().unwrap().join().unwrap();
 }
 
-const SERVICE: &str = "_rpc._tcp.mesh.local.";
-
-/// The name service's answer: engines by id, address and priority.
-fn list_answer(id: u16, serial: u32, engines: &[(&str, SocketAddr, u16)]) -> Message {
-    let name = |text: &str| Name::from_ascii(text).unwrap();
-    let record = |owner: &str, data| Record::from_rdata(name(owner), 0, data);
-    let mut message = Message::query();
-    (message.metadata.id, message.metadata.message_type) = (id, MessageType::Response);
-    for (id, address, priority) in engines {
-        let target = format!("{id}.z.hosts.");
-        let srv = SRV::new(*priority, 40, address.port(), name(&target));
-        message.add_answer(record(SERVICE, RData::SRV(srv)));
-        message.add_additional(record(&target, RData::A(A(Ipv4Addr::LOCALHOST))));
-        let texts = vec!["kind=k".into(), "cell=2".into(), "started=1700000000000".into()];
-        message.add_additional(record(&target, RData::TXT(TXT::new(texts))));
-    }
-    let soa = SOA::new(name("mesh.local."), name("mesh.local."), serial, 1, 1, 1, 1);
-    message.add_authority(record("mesh.local.", RData::SOA(soa)));
-    message
-}
-
-/// Answers the nth question with what `answers` gives for its number and id; tells each question on a channel.
-fn name_service(
-    answers: impl Fn(usize, u16) -> Vec<Message> + Send + 'static,
-) -> (SocketAddr, mpsc::Receiver<usize>) {
-    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let address = socket.local_addr().unwrap();
-    let (told, asked) = mpsc::channel();
-    std::thread::spawn(move || {
-        let mut bytes = [0; 512];
-        for number in 0.. {
-            let (length, from) = socket.recv_from(&mut bytes).unwrap();
-            let question = Message::from_vec(&bytes[..length]).unwrap();
-            for message in answers(number, question.metadata.id) {
-                socket.send_to(&message.to_vec().unwrap(), from).unwrap();
-            }
-            if told.send(number).is_err() {
-                return;
-            }
-        }
-    });
-    (address, asked)
-}
-
 #[test]
 fn the_list_follows_the_name_service_and_no_forged_answer() {
     let well = Engine::well();
@@ -769,7 +726,7 @@
     });
     actix_rt::System::new().block_on(async {
         let mut asker = asker(names, 1);
-        // The third second without a usable answer is told, and so is the end of that.
+        // More than a second without a usable answer is told, and so is the end of that.
         for wanted in [Some(5), None, Some(7)] {
             let word = tokio::time::timeout(LONG, asker.change()).await.unwrap();
             assert!(
@@ -783,7 +740,7 @@
 
 fn asker(names: SocketAddr, no: u64) -> Asker {
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    Asker::start(Some(dial(names).unwrap()), no, 7, log).unwrap()
+    Asker::start(Some(names), no, 7, log).unwrap()
 }
 
 /// A name service that has been silent says so once, and its first answer counts even if nothing has changed.
