--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -76,3 +76,54 @@
         assert!(link.write_all(b"call").await.is_err() && !link.0.sent() && !link.0.is_free());
     }
 }
+
+/// What is let go is shut for writing and read out: bytes that came in this very moment cost the client no answer by a reset, and
+/// nothing of them is handed on.
+#[actix_rt::test]
+async fn a_connection_is_let_go_without_a_reset_over_unread_bytes() {
+    use tokio::io::AsyncWriteExt as _;
+    let connections = Connections::of_clients(4, LONG, LONG);
+    let linger = connections.linger.clone();
+    actix_rt::spawn(async move { linger.run().await });
+    let (mut there, mut link) = pair(&connections).await;
+    link.write_all(b"answer").await.unwrap();
+    there.write_all(b"half a call").await.unwrap();
+    while is_quiet(link.0.stream.borrow().as_ref().unwrap()) {
+        tokio::task::yield_now().await;
+    }
+    link.0.close();
+    assert_eq!(link.read(&mut [0; 8]).await.unwrap(), 0);
+    there.write_all(b", and its rest").await.unwrap();
+    let mut read = Vec::new();
+    there.read_to_end(&mut read).await.unwrap();
+    assert_eq!(read, b"answer");
+    drop(there);
+    while connections.linger.count() > 0 {
+        tokio::task::yield_now().await;
+    }
+    // Those that are let go at once are bounded, the oldest goes first.
+    let mut others = Vec::new();
+    for _ in 0..9 {
+        let (there, link) = pair(&connections).await;
+        link.0.close();
+        others.push(there);
+    }
+    assert_eq!(connections.linger.count(), 4);
+}
+
+/// On a connection that rests, a call that has begun to come is read before it is closed for its age or to make room.
+#[actix_rt::test]
+async fn a_call_that_comes_in_the_moment_of_the_close_is_read() {
+    use tokio::io::AsyncWriteExt as _;
+    let connections = Connections::of_clients(4, Duration::ZERO, Duration::ZERO);
+    let (mut there, link) = pair(&connections).await;
+    link.0.open(10);
+    link.0.rest();
+    there.write_all(b"POST").await.unwrap();
+    while is_quiet(link.0.stream.borrow().as_ref().unwrap()) {
+        tokio::task::yield_now().await;
+    }
+    connections.sweep();
+    assert!(!connections.close_least_used(Duration::ZERO, Duration::ZERO));
+    assert_eq!(connections.count(), 1);
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod names;
+pub mod program;
 
 use bramblewharf_bodies::ledger::Counts;
 use bramblewharf_bodies::spool::Disk;
