What is given up on its way to an engine is reset, and not delivered after its cancel

Probe over a connection whose engine takes 2 KB ahead: a client sends 60,032 bytes and goes, the DELETE has come on another connection, and then all 60,193 bytes of the call still arrive: the engine begins what it was told to give up. A repeat of a long text could also come whole after its window.

Lines at fault: `Connection::close` for engines; `Upload::watch`, which looked at the pace and not at the window.

Change: a connection to an engine on which an answer is awaited is reset when it is closed, and what was not delivered is dropped; a long text that may no longer come whole (`Reducer::may_arrive`, the gate's own word) is broken off.

Measured: the probe is `what_is_on_its_way_is_not_delivered_after_it_is_given_up`, without the change "Ok(60193), 60194 came", with it a reset after a part; `a_long_text_whose_window_of_repeats_ends_on_its_way_never_comes_whole`, without it 102,606 bytes 1.1 s into a window of 1 s, with it less than the text. TCP_NODELAY of both sides has a test now.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -289,8 +289,14 @@
     /// Nothing more is read that could be carried out. A client's may have sent something in this very moment.
     pub fn close(&self) {
         if let Some(stream) = self.stream.borrow_mut().take() {
-            if self.exchange.is_none() && !self.ended.get() && !self.shut.get() {
-                self.linger.take(stream);
+            match &self.exchange {
+                None if !self.ended.get() && !self.shut.get() => self.linger.take(stream),
+                // What was sent and has no answer is wanted no longer: after an ordinary close the system would go on sending
+                // it over a path that stands still, and a cancel on another connection would overtake it.
+                Some(exchange) if exchange.borrow().awaits() => {
+                    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                }
+                _ => {}
             }
         }
         self.wake();
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -127,3 +127,12 @@
     assert!(!connections.close_least_used(Duration::ZERO, Duration::ZERO));
     assert_eq!(connections.count(), 1);
 }
+
+/// Small writes are never held back by the system: a close over unread bytes would take them with it.
+#[actix_rt::test]
+async fn nothing_is_held_back_on_either_side() {
+    for connections in [Connections::of_clients(4, LONG, LONG), Connections::of_engines(100, LONG)] {
+        let (_there, link) = pair(&connections).await;
+        assert!(link.0.stream.borrow().as_ref().unwrap().nodelay().unwrap());
+    }
+}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -41,7 +41,7 @@
 const TRIES: usize = 5;
 
 const NOTHING: Text = Text::Whole(Bytes::new());
-const ALWAYS: fn() -> bool = || true;
+const ALWAYS: May<'static> = May { begin: &|| true, arrive: &|| true };
 
 pub struct Engines {
     connections: Rc<Connections>,
@@ -144,8 +144,15 @@
     pub parcel: &'a Parcel,
     pub mem_mb: f64,
     pub timeout: Duration,
-    /// Whether it may still go out, right before its first byte does: nothing may have come since that takes it back.
-    pub may: &'a dyn Fn() -> bool,
+    pub may: May<'a>,
+}
+
+/// Whether a call may still go out, right before its first byte does: nothing may have come since that takes it back. And whether
+/// one that takes long may still come whole.
+#[derive(Clone, Copy)]
+pub struct May<'a> {
+    pub begin: &'a dyn Fn() -> bool,
+    pub arrive: &'a dyn Fn() -> bool,
 }
 
 impl Engines {
@@ -312,7 +319,7 @@
         let delete = |client: &Client| client.delete(&uri);
         let (began, mut pause) = (Instant::now(), PAUSE);
         while began.elapsed() < FORGOTTEN {
-            match self.call(&mut Way::to(address), delete, &NOTHING, UNANSWERED, &ALWAYS).await {
+            match self.call(&mut Way::to(address), delete, &NOTHING, UNANSWERED, ALWAYS).await {
                 Call::Answered(_) | Call::NotMade(true) => return,
                 _ => sleep(pause).await,
             }
@@ -343,7 +350,7 @@
     /// The news of an execution, or a further page of its result.
     async fn get(&self, way: &mut Way, id: &str, page: usize, within: Duration) -> Call {
         let uri = format!("http://{}/x/{id}/{page}", way.address);
-        self.call(way, |client| client.get(&uri), &NOTHING, within, &ALWAYS).await
+        self.call(way, |client| client.get(&uri), &NOTHING, within, ALWAYS).await
     }
 
     /// Asks for the end of a statement whose own answer takes long, and returns with that alone: as long as the statement may
@@ -406,7 +413,7 @@
         request: impl Fn(&Client) -> ClientRequest,
         text: &Text,
         within: Duration,
-        may: &dyn Fn() -> bool,
+        may: May<'_>,
     ) -> Call {
         for _ in 0..2 {
             let connection = match self.connect(way).await {
@@ -415,7 +422,7 @@
             };
             // Guards against what came between the decision and the socket: a pause of this process, a client that left
             // while the connection was made, a drain.
-            if !may() {
+            if !(may.begin)() {
                 return Call::NoRoom;
             }
             connection.ask();
@@ -429,7 +436,7 @@
                     let Some(outgoing) = body.send() else { return Call::NoRoom };
                     let upload = Upload::new(&outgoing, connection.clone());
                     let sent = request.send_body(Sending::new(outgoing, upload.cut()));
-                    upload.watch(within, self.reply(sent)).await
+                    upload.watch(within, may.arrive, self.reply(sent)).await
                 }
             };
             if let Some(reply) = reply {
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -3,7 +3,7 @@
 
 use crate::invariants::{Broken, Invariant};
 use crate::policy::{Names, Permitted};
-use bramblewharf::choice::Chooser;
+use bramblewharf::choice::{Chooser, Rule};
 use bramblewharf::interface::*;
 use bramblewharf_bodies::Body;
 use bramblewharf_budgets::{Claim, Permits};
@@ -462,6 +462,11 @@
         self.chooser.lapsed(now, id, execution).is_none()
     }
 
+    /// Whether a repeat that is on its way would still be known for one when it is whole.
+    pub fn may_arrive(&self, now: Duration, id: &Id, execution: usize) -> bool {
+        self.chooser.lapsed(now, id, execution) != Some(Rule::NoDoubleEffect)
+    }
+
     /// What it decides by of the fleet's policy.
     pub fn policy(&self) -> Option<&policy::Node> {
         self.policy.as_ref().map(|policy| &policy.node)
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -1,7 +1,7 @@
 //! Carries out what the reducer asks for, on one thread: the gateway as it is started, serves and shuts down.
 
 use crate::config::{self, AtStart, Bounds, Start};
-use crate::engines::{Engines, Job};
+use crate::engines::{Engines, Job, May};
 use crate::fleet::{machine_time, Link};
 use crate::front::Front;
 use crate::names::{Asker, Known, Word};
@@ -220,7 +220,9 @@
                         let due = not_after.is_none_or(|end| now <= end);
                         due && core.reducer.borrow().may_go_out(now, &id, execution)
                     };
-                    let job = Job { address, parcel: &parcel, mem_mb, timeout, may: &may };
+                    let arrives = || core.reducer.borrow().may_arrive(core.clock.now(), &id, execution);
+                    let may = May { begin: &may, arrive: &arrives };
+                    let job = Job { address, parcel: &parcel, mem_mb, timeout, may };
                     let noted = |note| core.input(Input::Noted { id: id.clone(), execution, note });
                     let ending = core.engines.run(job, noted).await;
                     core.running.borrow_mut().remove(&(id.clone(), execution));
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -84,8 +84,13 @@
     }
 
     /// The answer, if the engine goes on taking pieces, answers soon after the last, and is whole `within` that time once it
-    /// has begun early.
-    pub async fn watch<T>(self, within: Duration, answered: impl Future<Output = Option<T>>) -> Option<T> {
+    /// has begun early. None as soon as it may no longer come whole: its connection is then reset.
+    pub async fn watch<T>(
+        self,
+        within: Duration,
+        may_arrive: &dyn Fn() -> bool,
+        answered: impl Future<Output = Option<T>>,
+    ) -> Option<T> {
         let mut answered = pin!(answered);
         loop {
             tokio::select! {
@@ -93,6 +98,9 @@
                 reply = &mut answered => return reply,
                 () = sleep(LOOK) => {}
             }
+            if !may_arrive() {
+                return None;
+            }
             if !self.cut.cut.get() && !self.pace.ended.get() && self.connection.answers_early() {
                 self.cut.cut.set(true);
                 self.pace.moved.set(std::time::Instant::now());
--- a/crates/gateway/tests/bodies.rs
+++ b/crates/gateway/tests/bodies.rs
@@ -380,6 +380,36 @@
     }
 }
 
+/// A repeat of a long text that is still on its way when engines may have forgotten the first never comes whole.
+#[test]
+fn a_long_text_whose_window_of_repeats_ends_on_its_way_never_comes_whole() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    // So little is taken before it is read that the rest stays with the gateway's machine.
+    socket.set_recv_buffer_size(2048).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(8).unwrap();
+    let slow: std::net::TcpListener = socket.into();
+    let resets =
+        Engine::start(|call| if call.method == "POST" { Reply::Reset } else { answer(500, "", b"") });
+    let mut configuration = configuration(&[slow.local_addr().unwrap(), resets.address]);
+    configuration["settings"]["profiles"][2]["memorySpanUs"] = json!(1_000_000);
+    let served = Served::with(&configuration, operators(2048, (1024, 4096), None, ""), None);
+    let text = text(100 * KB);
+    let call = String::from_utf8(whole("load", 1, &text))
+        .unwrap()
+        .replace("X-Deadline-Ms: 20000", "X-Deadline-Ms: 4000");
+    let answered = send(&served, call.into_bytes());
+    let (mut engine, _) = slow.accept().unwrap();
+    let came = std::time::Instant::now();
+    while came.elapsed() < Duration::from_millis(1100) {
+        std::thread::yield_now();
+    }
+    let mut read = Vec::new();
+    let end = engine.read_to_end(&mut read);
+    assert!(read.len() < text.len(), "{end:?}, {} came", read.len());
+    assert_ne!(answered.join().unwrap().status, 200);
+}
+
 #[test]
 fn a_drain_told_while_half_of_a_text_has_come_is_kept() {
     let (well, drained) = (Engine::well(), Engine::well());
--- a/crates/gateway/tests/owed.rs
+++ b/crates/gateway/tests/owed.rs
@@ -270,6 +270,37 @@
     assert_eq!(asked.join().unwrap().body, json!({"values": [["well", "1", "x"]]}));
 }
 
+/// What is still on its way to an engine when its client goes is not delivered later: a cancel would overtake it.
+#[test]
+fn what_is_on_its_way_is_not_delivered_after_it_is_given_up() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    // So little is taken before it is read that the rest stays with the gateway's machine.
+    socket.set_recv_buffer_size(2048).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(8).unwrap();
+    let listener: TcpListener = socket.into();
+    let served = Served::before(&[listener.local_addr().unwrap()]);
+    let text = "SELECT note FROM sales_17.orders";
+    let long = format!("{text}{}", " ".repeat(60_000));
+    let call = call("read", 1, 60_000, "")
+        .replace(text, &long)
+        .replace("Content-Length: 32", "Content-Length: 60032");
+    let mut client = served.connect();
+    client.write_all(call.as_bytes()).unwrap();
+    let (mut engine, _) = listener.accept().unwrap();
+    engine.set_read_timeout(Some(LONG)).unwrap();
+    let mut came = vec![0; 1];
+    engine.read_exact(&mut came).unwrap();
+    drop(client);
+    // The cancel tells that it has been given up.
+    let (mut cancel, _) = listener.accept().unwrap();
+    let mut head = [0; 6];
+    cancel.read_exact(&mut head).unwrap();
+    assert_eq!(&head, b"DELETE");
+    let end = engine.read_to_end(&mut came);
+    assert!(end.is_err() && came.len() < 60_000, "{end:?}, {} came", came.len());
+}
+
 /// A call that is refused is answered once, though what came behind its head can't be read as a call.
 #[test]
 fn a_bad_call_is_answered_once() {
