Cancels made again don't crowd out statements where second copies are allowed

Seen by reading: a cancel that gets no answer is now made again for 2.5 s, and each try holds a connection to its engine for up to 550 ms. Where second copies are allowed nothing waits for it. Change: there it ends as soon as three quarters of the connections to engines are in use (`Engines::stop`). Where one execution may be out at a time it goes on, as the next waits for it.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -321,6 +321,8 @@
         while began.elapsed() < FORGOTTEN {
             match self.call(&mut Way::to(address), delete, &NOTHING, UNANSWERED, ALWAYS).await {
                 Call::Answered(_) | Call::NotMade(true) => return,
+                // Where second copies are allowed nothing waits for it, and it must not crowd out what does.
+                _ if !self.one_at_a_time && self.connections() >= self.bounds.engines * 3 / 4 => return,
                 _ => sleep(pause).await,
             }
             pause *= 2;
