A client that is held back costs a look now and then, not the gateway's core

Seen on reading the change again: `poll_read` told whoever waits for the end of a connection each time it found it held back. Both are polled by the same task, so that word woke the task, which read, which told again. Probe: one poll of both for 300 ms gives 300,095 polls.

Change: it is told once, as the holding back begins; after that the connection is looked at every 30 ms. Measured: `a_connection_that_is_held_back_is_looked_at_now_and_then` (3 to 30 polls) fails without the change with 300,095 and passes with it; the gateway's unit tests and tests/owed.rs pass.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -581,7 +581,10 @@
             }
             return read;
         }
-        connection.held_back.set(held_back && connection.idle.get().is_none());
+        let held = held_back && connection.idle.get().is_none();
+        // Once as it begins: whoever waits for the end may be polled by what polls this, and would wake it for ever.
+        let newly_held = held && !connection.held_back.replace(held);
+        connection.held_back.set(held);
         let read = if connection.condemned.get() {
             connection.read_out(stream, cx)
         } else if held_back || connection.holds.get() {
@@ -594,7 +597,7 @@
             Poll::Ready(Ok(())) => {}
             Poll::Ready(Err(_)) => connection.ended.set(true),
         }
-        if connection.ended.get() || connection.held_back.get() {
+        if connection.ended.get() || newly_held {
             connection.end.notify_one();
         }
         read
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -136,3 +136,23 @@
         assert!(link.0.stream.borrow().as_ref().unwrap().nodelay().unwrap());
     }
 }
+
+/// Waiting for the end of a connection on which more waits than may be read costs a look now and then, not the core.
+#[actix_rt::test]
+async fn a_connection_that_is_held_back_is_looked_at_now_and_then() {
+    use std::future::Future as _;
+    let connections = Connections::of_clients(4, LONG, LONG);
+    let (_there, mut link) = pair(&connections).await;
+    link.0.open(0);
+    let connection = link.0.clone();
+    let mut ended = std::pin::pin!(connection.ended());
+    let mut polls = 0;
+    // As a server's task does, one thing polls both.
+    let both = std::future::poll_fn(|cx| {
+        polls += 1;
+        let _ = Pin::new(&mut link).poll_read(cx, &mut ReadBuf::new(&mut [0; 8]));
+        ended.as_mut().poll(cx)
+    });
+    assert!(timeout(10 * HUNG_UP, both).await.is_err());
+    assert!((3..30).contains(&polls), "{polls} polls");
+}
