Scale measurements begun: bramblewharf-rig scale, and a count of engines looked at

Cause: no figure of the project says how a statement's cost grows with engines. No decision changes.

--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -370,6 +370,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Engines that the decisions have looked at since the start.
+    pub fn looked(&self) -> u64 {
+        self.chooser.looked.get()
+    }
+
     /// When the next `Wake` is wanted.
     pub fn due(&self) -> Option<Duration> {
         let own = self.due.first_key_value().map(|(at, _)| at.0);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,8 +1,10 @@
 //! Fleets under fire. `simulated` plays the machines of a fleet in virtual time, thousands of them, with a network that loses,
-//! doubles, delays and cuts; `world` starts the program itself, with a `relay` on each way between processes; `campaign` plays plans against them; `plan` says what breaks when, by a seed, and makes a plan that fails smaller.
+//! doubles, delays and cuts; `world` starts the program itself, with a `relay` on each way between processes; `campaign` plays plans against them; `scale` measures
+//! fleets at the operators' size; `plan` says what breaks when, by a seed, and makes a plan that fails smaller.
 
 pub mod campaign;
 pub mod plan;
 pub mod relay;
+pub mod scale;
 pub mod simulated;
 pub mod world;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 use bramblewharf_gateway::{cli, machine_time, policy_cli, Ports};
 use bramblewharf_rig::campaign;
 use bramblewharf_rig::plan::{draw, kinds, smaller, Plan};
+use bramblewharf_rig::scale::{self, Scale};
 use bramblewharf_rig::simulated::{play, Fleet, World};
 use bramblewharf_rig::world;
 use clap::{Parser, Subcommand, ValueEnum};
@@ -58,6 +59,9 @@
     /// What keeping leave costs in fleets of several sizes, in virtual time: the keeper's share of this machine's core, and what
     /// each gateway says in a second.
     Sizes,
+    /// Fleets at the operators' size.
+    #[command(subcommand)]
+    Scale(Scale),
     /// Plans in virtual time, one a seed; prints how often each kind of fault was caused, and what broke, made smaller.
     Simulate {
         /// The first seed, and how many.
@@ -98,6 +102,13 @@
             against_processes(from, plans, gateways, seats, faults, Duration::from_secs(seconds))
         }
         Command::Sizes => sizes(),
+        Command::Scale(what) => match scale::run(&what) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(message) => {
+                eprintln!("bramblewharf-rig: {message}");
+                ExitCode::FAILURE
+            }
+        },
         Command::Simulate { from, plans, gateways, seats, faults, seconds } => {
             simulate(from, plans, gateways, seats, faults, Duration::from_secs(seconds))
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,6 +7,7 @@
 use bramblewharf_budgets::Claim;
 use bramblewharf_turns::{mix, signals, Draw, Signals, Turn};
 use nanorand::{Rng, WyRand};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound::{Excluded, Unbounded};
 use std::time::Duration;
@@ -134,6 +135,8 @@
     list_failed: bool,
     room: Room,
     actions: Vec<Action>,
+    /// Engines looked at since the start, for whoever measures.
+    pub looked: Cell<u64>,
 }
 impl Chooser {
     pub fn start(site: Site, seed: u64, now: Duration) -> (Chooser, Vec<Action>) {
@@ -166,7 +169,7 @@
             unjudged: false, crumbs, usual_told: Mean(0.0, false), told_at: now, usual_pace: Mean(1.0, false),
             draw, signals: Signals::start(terms, seed),
             list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
-            room: Room::default(), began: now, closes: None, site,
+            room: Room::default(), began: now, closes: None, looked: Cell::default(), site,
         };
         chooser.beat(now);
         let first = std::mem::take(&mut chooser.actions);
@@ -276,6 +279,7 @@
             .range::<Id, _>((Excluded(start), Unbounded))
             .chain(self.engines.range::<Id, _>(..=start));
         let fit = walk
+            .inspect(|_| self.look(1))
             .filter(|(to, e)| self.fits(now, stmt, e, common) && self.forbids(now, id, to).is_none())
             .min_by_key(|(_, e)| self.objections(now, stmt, e));
         match fit.map(|(to, _)| to.clone()) {
@@ -283,6 +287,9 @@
             None => Input::NoRoom,
         }
     }
+    fn look(&self, engines: usize) {
+        self.looked.set(self.looked.get() + engines as u64);
+    }
     /// The residual covers the weight; one heavier than a whole capacity goes where nothing of ours runs.
     fn fits(&self, now: Duration, stmt: &Stmt, engine: &Engine, common: bool) -> bool {
         let terms = &self.rows[stmt.said.workload].terms;
@@ -353,6 +360,7 @@
     /// When half the engines or more look bad, and most of the others do not answer well either, the cause is
     /// taken as common and none is shunned. A lost hall is no common cause while the rest answers well.
     fn trouble_is_common(&self, now: Duration) -> bool {
+        self.look(self.engines.len());
         let live = self.engines.values().filter(|e| e.entry.state == EngineState::In);
         let (all, aside, well) = live.fold((0, 0, 0), |(all, aside, well), e| {
             let bad = self.is_bad(now, e);
@@ -733,6 +741,7 @@
         self.taken.drain(..self.taken.partition_point(|at| *at + kept < now));
         self.extras.drain(..self.extras.partition_point(|(at, _)| *at + kept < now));
         let window = self.site.cold.window;
+        self.look(self.engines.len());
         for engine in self.engines.values_mut() {
             engine.cold_sends.retain(|(at, _)| *at + window >= now);
             engine.held.retain(|_, (_, until)| now < *until);
