A hall is a zone in code and pages of turns, as everybody calls it

Cause: crates/turns, the module's comment and the pages called the platform's zones halls, which hides the standard term. Names only; nothing decides otherwise.

--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -813,7 +813,7 @@
     // A stranger's word of two loads on the only engine, and words that cannot be read, change nothing.
     let told = |loads| {
         let words = vec![Told::Holds { engine: Mark::of("e0"), group: 17, loads }];
-        Said { hall: 0, words }.write()
+        Said { zone: 0, words }.write()
     };
     stranger.send_to(&told(2), own).unwrap();
     for bad in [&b"\xff\xfe"[..], b"", &told(2)[..9], b"2 17 e0", &[b'2'; 300]] {
--- a/crates/rig/tests/signals.rs
+++ b/crates/rig/tests/signals.rs
@@ -68,9 +68,9 @@
     std::thread::sleep(2000 * MS);
     let usual = completed(&clients) - before;
     for _ in 0..200 {
-        for (engine, hall) in (0..world.plan.engines).flat_map(|engine| [(engine, 1), (engine, 2)]) {
+        for (engine, zone) in (0..world.plan.engines).flat_map(|engine| [(engine, 1), (engine, 2)]) {
             let words = vec![Word::Ill { engine: Mark::of(&format!("e-{engine}")), age: Duration::ZERO }];
-            let said = Said { hall, words }.write();
+            let said = Said { zone, words }.write();
             world.peers().for_each(|peer| drop(liar.send_to(&said, peer)));
         }
         std::thread::sleep(10 * MS);
--- a/crates/turns/src/signals.rs
+++ b/crates/turns/src/signals.rs
@@ -4,7 +4,7 @@
 //! on, so no word outlives its age and none comes back as another's. That an engine is well is said only where somebody said
 //! that it is ill: a fleet in which all is well is silent. Of each engine the last words of a few witnesses are kept, one each.
 //! One witness alone changes nothing: what has a gateway shun an engine takes two, its own evidence being one, and not all of
-//! one other hall, which may be cut off.
+//! one other zone, which may be cut off.
 
 use crate::subsets::Spot;
 use crate::words::{Said, Word};
@@ -30,8 +30,8 @@
 pub struct Terms {
     /// Its number, and how many there are.
     pub draw: Draw,
-    /// Its hall, as all gateways of it name it.
-    pub hall: String,
+    /// Its zone, as all gateways of it name it.
+    pub zone: String,
     /// Whether gateways may speak to one another.
     pub may_tell: bool,
     /// A known mistake, put in on purpose to see that it is found. No settings lead here.
@@ -39,8 +39,8 @@
 }
 
 impl Terms {
-    pub fn new(draw: Draw, hall: &str, may_tell: bool) -> Terms {
-        Terms { draw, hall: hall.to_string(), may_tell, wrong: None }
+    pub fn new(draw: Draw, zone: &str, may_tell: bool) -> Terms {
+        Terms { draw, zone: zone.to_string(), may_tell, wrong: None }
     }
 }
 
@@ -57,7 +57,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Heard {
     from: u32,
-    hall: u8,
+    zone: u8,
     at: Duration,
     ill: bool,
 }
@@ -82,7 +82,7 @@
 
 pub struct Signals {
     terms: Terms,
-    hall: u8,
+    zone: u8,
     rng: WyRand,
     /// Engines of the list; emptied of those that the list drops.
     engines: BTreeMap<Mark, Known>,
@@ -93,10 +93,10 @@
 
 impl Signals {
     pub fn start(terms: Terms, seed: u64) -> Signals {
-        let hall = Mark::of(&terms.hall).0 as u8;
+        let zone = Mark::of(&terms.zone).0 as u8;
         Signals {
             terms,
-            hall,
+            zone,
             rng: WyRand::new_seed(seed),
             engines: BTreeMap::new(),
             heard_at: None,
@@ -150,7 +150,7 @@
         if !self.terms.may_tell || others == 0 {
             return;
         }
-        let said = Said { hall: self.hall, words: vec![word] };
+        let said = Said { zone: self.zone, words: vec![word] };
         let (Word::Well { engine, .. } | Word::Ill { engine, .. } | Word::Holds { engine, .. }) = word;
         let (own, gateways) = (self.terms.draw.own, self.terms.draw.gateways);
         let spot = self.engines.get(&engine).map(|known| known.spot);
@@ -195,7 +195,7 @@
             let at = now.saturating_sub(*age);
             self.heard_at = Some(now);
             self.counts.heard += 1;
-            let heard = Heard { from, hall: said.hall, at, ill };
+            let heard = Heard { from, zone: said.zone, at, ill };
             let same = known.others.iter().position(|other| other.from == from);
             let oldest = || (0..known.others.len()).min_by_key(|at| known.others[*at].at);
             match same.or_else(|| oldest().filter(|_| known.others.len() >= WITNESSES)) {
@@ -210,7 +210,7 @@
     }
 
     /// Whether an engine is ill by more than what was seen here: two witnesses or more say so, oneself among them, not all of one
-    /// other hall, and three of four words, those that say that it is well among them.
+    /// other zone, and three of four words, those that say that it is well among them.
     pub fn is_ill(&self, now: Duration, engine: Mark) -> bool {
         let Some(known) = self.engines.get(&engine) else { return false };
         let counts = |at: Duration| now < at + COUNTS || self.terms.wrong == Some(Wrong::NeverOver);
@@ -224,8 +224,8 @@
             return many > 0;
         }
         let near = own_ill > 0
-            || ill().any(|heard| heard.hall == self.hall)
-            || ill().any(|one| ill().any(|other| other.hall != one.hall));
+            || ill().any(|heard| heard.zone == self.zone)
+            || ill().any(|one| ill().any(|other| other.zone != one.zone));
         many >= 2 && near && ILL_OF.1 * many >= ILL_OF.0 * all
     }
 
--- a/crates/turns/src/words.rs
+++ b/crates/turns/src/words.rs
@@ -1,4 +1,4 @@
-//! What gateways say to one another of engines, as bytes: a version, the hall of whoever speaks, then words of a few bytes each.
+//! What gateways say to one another of engines, as bytes: a version, the zone of whoever speaks, then words of a few bytes each.
 
 use crate::Mark;
 use std::time::Duration;
@@ -23,8 +23,8 @@
 /// All that one message says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Said {
-    /// Of the speaker's hall: words that are all of one hall may be of what cut that hall off.
-    pub hall: u8,
+    /// Of the speaker's zone: words that are all of one zone may be of what cut that zone off.
+    pub zone: u8,
     pub words: Vec<Word>,
 }
 
@@ -77,7 +77,7 @@
 impl Said {
     /// The first words that fit.
     pub fn write(&self) -> Vec<u8> {
-        let mut bytes = vec![VERSION, self.hall];
+        let mut bytes = vec![VERSION, self.zone];
         for word in &self.words {
             let before = bytes.len();
             word.write(&mut bytes);
@@ -93,7 +93,7 @@
     /// believed by halves.
     pub fn read(bytes: &[u8]) -> Option<Said> {
         let (head, mut rest) = bytes.split_at_checked(2).filter(|_| bytes.len() <= LONGEST)?;
-        let mut said = Said { hall: head[1], words: Vec::new() };
+        let mut said = Said { zone: head[1], words: Vec::new() };
         if head[0] != VERSION || rest.is_empty() {
             return None;
         }
--- a/crates/turns/src/words/tests.rs
+++ b/crates/turns/src/words/tests.rs
@@ -22,16 +22,16 @@
     /// What is written is read again, up to what fits; cut or spoilt bytes are read whole or not at all, and no fault.
     #[test]
     fn words_come_as_they_went(
-        hall in any::<u8>(),
+        zone in any::<u8>(),
         words in proptest::collection::vec(words(), 1..60),
         cut in 0usize..256,
         noise in proptest::collection::vec(any::<u8>(), 0..300),
     ) {
-        let said = Said { hall, words };
+        let said = Said { zone, words };
         let bytes = said.write();
         prop_assert!(bytes.len() <= LONGEST);
         let read = Said::read(&bytes).unwrap();
-        prop_assert_eq!(read.hall, hall);
+        prop_assert_eq!(read.zone, zone);
         prop_assert!(!read.words.is_empty());
         prop_assert_eq!(&read.words[..], &said.words[..read.words.len()]);
         let again = Said::read(&bytes[..cut.min(bytes.len())]);
--- a/crates/turns/tests/signals.rs
+++ b/crates/turns/tests/signals.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 const MS: Duration = Duration::from_millis(1);
-fn signals(own: u32, gateways: u32, hall: &str, wrong: Option<Wrong>) -> Signals {
+fn signals(own: u32, gateways: u32, zone: &str, wrong: Option<Wrong>) -> Signals {
     let mut signals =
-        Signals::start(Terms { wrong, ..Terms::new(Draw { own, gateways }, hall, true) }, u64::from(own) + 1);
+        Signals::start(Terms { wrong, ..Terms::new(Draw { own, gateways }, zone, true) }, u64::from(own) + 1);
     let names: Vec<Arc<str>> = (0..8).map(|at| name(at).into()).collect();
     signals.list(names.iter().map(|id| (id, Spot::new(id, CELLS))));
     signals
@@ -24,16 +24,16 @@
     Mark::of(&name(at))
 }
 
-fn hall(of: &str) -> u8 {
+fn zone(of: &str) -> u8 {
     Mark::of(of).0 as u8
 }
 
 fn well() -> Said {
-    Said { hall: hall("a"), words: vec![Word::Well { engine: mark(0), age: Duration::ZERO }] }
+    Said { zone: zone("a"), words: vec![Word::Well { engine: mark(0), age: Duration::ZERO }] }
 }
 
 fn ill(of: &str) -> Said {
-    Said { hall: hall(of), words: vec![Word::Ill { engine: mark(0), age: Duration::ZERO }] }
+    Said { zone: zone(of), words: vec![Word::Ill { engine: mark(0), age: Duration::ZERO }] }
 }
 
 #[test]
@@ -72,7 +72,7 @@
     assert!(!it.is_ill(now, mark(0)));
     it.heard(now, 2, &ill("b"));
     it.heard(now, 3, &ill("b"));
-    assert!(!it.is_ill(now, mark(0)), "hall b may be cut off from it");
+    assert!(!it.is_ill(now, mark(0)), "zone b may be cut off from it");
     it.heard(now, 4, &ill("c"));
     assert!(it.is_ill(now, mark(0)));
     assert!(!it.is_ill(now + 2000 * MS, mark(0)), "it is over by itself");
@@ -89,10 +89,10 @@
 #[test]
 fn late_and_strange_words_say_nothing() {
     let mut it = signals(0, 9, "a", None);
-    let said = |age: Duration| Said { hall: 0, words: vec![Word::Ill { engine: mark(0), age }] };
+    let said = |age: Duration| Said { zone: 0, words: vec![Word::Ill { engine: mark(0), age }] };
     it.heard(50_000 * MS, 1, &said(3000 * MS));
     it.heard(50_000 * MS, 2, &said(14_000 * MS));
-    let stranger = Said { hall: 0, words: vec![Word::Ill { engine: Mark::of("x"), age: Duration::ZERO }] };
+    let stranger = Said { zone: 0, words: vec![Word::Ill { engine: Mark::of("x"), age: Duration::ZERO }] };
     it.heard(50_000 * MS, 3, &stranger);
     // From oneself, as a relay that turns words round would have it.
     it.heard(50_000 * MS, 0, &ill("a"));
@@ -122,8 +122,8 @@
 
 impl World {
     fn new(gateways: u32, lost: u32, liars: u32, wrong: Option<Wrong>) -> World {
-        let halls = ["a", "b", "c"];
-        let all = (0..gateways).map(|own| signals(own, gateways, halls[own as usize % 3], wrong)).collect();
+        let zones = ["a", "b", "c"];
+        let all = (0..gateways).map(|own| signals(own, gateways, zones[own as usize % 3], wrong)).collect();
         let rng = WyRand::new_seed(5);
         World { rng, now: 1000 * MS, all, lost, liars, ill: false, looks: 0, trials: 0, heard: 0 }
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -336,7 +336,7 @@
         engine.cores * THREADS_PER_CORE * self.share(now, engine)
     }
     /// When half the engines or more look bad, and most of the others do not answer well either, the cause is
-    /// taken as common and none is shunned. A lost hall is no common cause while the rest answers well.
+    /// taken as common and none is shunned. A lost zone is no common cause while the rest answers well.
     fn trouble_is_common(&self, now: Duration) -> bool {
         let live = self.reach.now().filter_map(|id| self.engines.get(id));
         let live = live.filter(|e| e.entry.state == EngineState::In);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -179,12 +179,12 @@
     let mut terms = site(vec![workload(Idempotent)]);
     (terms.gateways, terms.may_tell) = (300, true);
     let words = vec![Word::Ill { engine: bramblewharf_turns::Mark::of("e1"), age: ms(0) }];
-    let halls = [1, 2, 3].map(|hall| Said { hall, words: words.clone() });
+    let zones = [1, 2, 3].map(|zone| Said { zone, words: words.clone() });
     let tried = |witnesses: usize| {
         let mut tried = 0;
         for gateway in 0..300 {
             let mut hand = Hand::new(Site { gateway, ..terms.clone() }, 3);
-            for (from, said) in halls.iter().take(witnesses).enumerate() {
+            for (from, said) in zones.iter().take(witnesses).enumerate() {
                 hand.event(Event::Told { from: 301 + from as u32, said: said.clone() });
             }
             let sent: Vec<Id> = (0..3).filter_map(|_| hand.sent(0).1).collect();
