A site that tells of no gateways divides nothing by them

Cause: the part of a cold engine was divided by the owners of an engine, which are none where a site tells of no gateways; other places guard against that. Test: numbers that make no sense, of gateways and of this one, decide without a fault at 1, 36 and 3,300 engines.

--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -241,3 +241,20 @@
     let (_, at) = hand.sent(0);
     assert!(at.is_none_or(|at| own.contains(&at)));
 }
+
+/// A site that tells of no gateways, or of fewer than this one's number, is a fleet of odd members, not a fault.
+#[test]
+fn numbers_that_make_no_sense_decide_all_the_same() {
+    for (gateway, gateways) in [(0, 0), (7, 0), (5000, 1900), (u32::MAX, 1900), (0, u32::MAX)] {
+        for engines in [1, 36, 3300] {
+            let mut site = fleet(gateway, gateways);
+            site.may_tell = true;
+            let entry = |n: usize| EngineEntry { started: ms(99_000), kind: "k4".into(), ..engine(n) };
+            let mut cold = hand(site.clone(), (0..engines).map(entry).collect());
+            went(&mut cold, 0, 50, |_| Outcome::Refused);
+            let mut warm = hand(site, list(engines));
+            went(&mut warm, 0, 50, |_| Outcome::TimedOut);
+            warm.beat(5000);
+        }
+    }
+}
