--- a/crates/turns/src/subsets.rs
+++ b/crates/turns/src/subsets.rs
@@ -123,6 +123,13 @@
     pub sharers: f64,
 }
 
+impl Part {
+    /// Places among its owners, where not all gateways are.
+    pub fn owners(&self) -> Option<u64> {
+        (self.spot.arc < CELLS).then(|| u64::from(self.draw.gateways.max(1)))
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
     engines: usize,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -434,7 +434,7 @@
         let sent = |span| to.cold_sends.iter().filter(|s| s.0 + span >= now).map(|s| s.1).sum::<f64>();
         let turn = |span, many| to.part.draw.has(Turn { span, many }, &to.entry.id, since);
         let (half, many) = (cold.window / 2, (stands * COLD_LIGHT / 2.0 / work) as u64);
-        let each = (many / u64::from(to.part.draw.gateways.max(1))).max(1) as f64;
+        let each = to.part.owners().map_or(1, |owners| (many / owners).max(1)) as f64;
         let room = match (self.crumbs, many > 1) {
             (false, _) => sent(cold.window) + work <= stands * self.share(now, to),
             (true, true) => turn(half, many) && sent(half) + work <= work * each,
