--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 //! fleets at the operators' size; `plan` says what breaks when, by a seed, and makes a plan that fails smaller.
 
 pub mod campaign;
+pub mod counted;
 pub mod plan;
 pub mod relay;
 pub mod scale;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -4,6 +4,7 @@
 use bramblewharf_fleet::Wrong;
 use bramblewharf_gateway::{cli, machine_time, policy_cli, Ports};
 use bramblewharf_rig::campaign;
+use bramblewharf_rig::counted::Counting;
 use bramblewharf_rig::plan::{draw, kinds, smaller, Plan};
 use bramblewharf_rig::scale::{self, Scale};
 use bramblewharf_rig::simulated::{play, Fleet, World};
@@ -15,6 +16,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Counts where `scale decide` asks for it.
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
 #[derive(Parser)]
 #[command(name = "bramblewharf-rig", about = "Fleets of gateways under fire")]
 struct Line {
--- /dev/null
+++ b/crates/rig/tests/scale_decide.rs
@@ -0,0 +1,114 @@
+//! What one gateway's decisions cost by size, in counts alone: they are the same on every machine for one seed.
+
+use bramblewharf_rig::counted::{during, is_counting, Counting};
+use bramblewharf_rig::scale::decide::{measure, sizes, Args, Counted, Size};
+use std::process::Command;
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const SEED: u64 = 1;
+const STATEMENTS: usize = 400;
+
+fn counted(gateways: usize, engines: usize) -> Counted {
+    measure(Size { gateways, engines }, STATEMENTS, SEED)
+}
+
+/// UPPER BOUNDS: gateways, engines, engines looked at a statement, engines looked at a second at rest. As it is
+/// today: a choice looks at all engines twice, and a beat, twenty of them a second, as often. Lower them as that
+/// changes; none may rise.
+const BOUNDS: [(usize, usize, f64, f64); 4] = [
+    (30, 36, 2.1 * 36.0, 41.0 * 36.0),
+    (300, 36, 2.1 * 36.0, 41.0 * 36.0),
+    (30, 330, 2.1 * 330.0, 41.0 * 330.0),
+    (300, 330, 2.1 * 330.0, 41.0 * 330.0),
+];
+
+/// Guards against a decision that begins to look at engines once more: a walk within a walk, a total counted anew.
+#[test]
+fn engines_looked_at_stay_within_the_bounds() {
+    for (gateways, engines, a_statement, at_rest) in BOUNDS {
+        let counted = counted(gateways, engines);
+        let size = format!("{gateways} gateways, {engines} engines");
+        assert!(counted.looked <= a_statement, "{size}: {} a statement", counted.looked);
+        assert!(counted.looked_at_rest <= at_rest, "{size}: {} a second at rest", counted.looked_at_rest);
+        // A count that counts nothing would be within any bound.
+        assert!(counted.looked >= 1.0, "{size}: {counted:?}");
+    }
+}
+
+/// Guards against figures of a run in which hardly anything ran: rejected statements are cheap.
+#[test]
+fn all_statements_of_a_well_fleet_complete_and_spread_over_its_engines() {
+    for (gateways, engines) in [(30, 36), (300, 330)] {
+        let counted = counted(gateways, engines);
+        assert_eq!((counted.statements, counted.completed), (STATEMENTS as u64, STATEMENTS as u64));
+        assert!(counted.executions >= counted.statements);
+        // Of what is drawn alike 400 statements meet 230 of 330 engines; of a walk all 330.
+        assert!(counted.engines_used * 3 >= engines * 2, "{} of {engines}", counted.engines_used);
+        assert!(counted.most_at_once >= 1);
+    }
+}
+
+/// Guards against a measurement that can't be repeated: what differs between two runs is nobody's figure.
+#[test]
+fn one_seed_gives_the_same_counts_again() {
+    let counts = |seed| {
+        let c = measure(Size { gateways: 30, engines: 36 }, STATEMENTS, seed);
+        (c.executions, c.completed, c.looked.to_bits(), c.messages.to_bits(), c.engines_used, c.most_at_once)
+    };
+    assert_eq!(counts(5), counts(5));
+    assert_ne!(counts(5), counts(6));
+}
+
+/// Guards against an allocator that counts what other code does, or nothing.
+#[test]
+fn only_what_is_asked_for_is_counted() {
+    assert!(is_counting());
+    let (kept, allocated) = during(|| vec![0u8; 1000]);
+    assert_eq!((allocated.calls, allocated.bytes, allocated.kept), (1, 1000, 1000));
+    let (_, freed) = during(|| drop(kept));
+    assert_eq!((freed.calls, freed.bytes, freed.kept), (0, 0, -1000));
+    let other = || std::thread::spawn(|| vec![0u8; 100_000]).join();
+    let (_, allocated) = during(other);
+    assert!(allocated.bytes < 100_000, "another thread's were counted: {allocated:?}");
+}
+
+fn args(gateways: &[usize], engines: &[usize], statements: usize) -> Args {
+    Args { gateways: gateways.to_vec(), engines: engines.to_vec(), statements, seed: SEED, json: false }
+}
+
+const ROOM: (u64, u64) = (8_000_000_000, 8_000_000_000);
+
+#[test]
+fn sizes_that_make_no_sense_are_refused_by_name() {
+    for (args, says) in [
+        (args(&[30, 0], &[36], 10), "--gateways: 0 is not from 2 to "),
+        (args(&[1_000_000], &[36], 10), "--gateways: 1000000 is not from 2 to "),
+        (args(&[30], &[36, 1], 10), "--engines: 1 is not from 2 to "),
+        (args(&[30], &[usize::MAX], 10), "is not from 2 to "),
+        (args(&[30], &[36], 0), "--statements: 0 is not from 1 to "),
+        (args(&[30], &[], 10), "--engines: 0 sizes are not from 1 to "),
+        (args(&[30; 17], &[36], 10), "--gateways: 17 sizes are not from 1 to "),
+    ] {
+        let refused = sizes(&args, ROOM).unwrap_err();
+        assert!(refused.contains(says), "{refused}");
+    }
+    let small = (8_000_000_000, 70_000_000);
+    let refused = sizes(&args(&[30], &[20_000], 10), small).unwrap_err();
+    assert!(refused.starts_with("memory: needs about "), "{refused}");
+    assert_eq!(sizes(&args(&[30, 300], &[36, 330], 10), ROOM).unwrap().len(), 4);
+}
+
+/// The program says why, and begins nothing: not even the progress of a first size shows.
+#[test]
+fn a_refused_size_starts_nothing() {
+    let program = env!("CARGO_BIN_EXE_bramblewharf-rig");
+    for wrong in [["--engines", "36,1"], ["--gateways", "0"], ["--statements", "999999999"]] {
+        let output = Command::new(program).args(["scale", "decide"]).args(wrong).output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && output.stdout.is_empty(), "{wrong:?}");
+        assert!(said.starts_with(&format!("bramblewharf-rig: {}: ", wrong[0])), "{said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+}
