--- a/crates/rig/src/scale/decide.rs
+++ b/crates/rig/src/scale/decide.rs
@@ -3,7 +3,8 @@
 //!
 //! The other gateways are not there: what they send shows in what engines report of themselves, and nothing is heard
 //! of them. So what an engine can do is not modelled either; each execution takes a drawn time. Counts are the same
-//! on every machine for one seed; processor time is this thread's, and is to be read as a ratio within one run.
+//! on every machine for one seed, those of allocations but for the few that hash maps make as they grow; processor
+//! time is this thread's, and is to be read as a ratio within one run.
 
 use super::report::Table;
 use super::room;
