A test that engines looked at do not grow with the fleet: fails until they don't

Cause: a statement looks at every engine of the list twice, once in the walk and once to see whether trouble is common. At 1,900 gateways that is 2.3 ms of processor time at 3,300 engines, of a gateway that is to serve 1,158 statements a second.

Change: a test that 3,300 engines are looked at no more than 1.5 times as often as 330, by 1,900 gateways.

--- a/crates/rig/tests/scale_decide.rs
+++ b/crates/rig/tests/scale_decide.rs
@@ -135,3 +135,17 @@
         assert!(last < first, "as many are sent there as before: {table:?}");
     }
 }
+
+/// Guards against decisions whose cost a statement grows with the fleet: before ten times as many engines a gateway looks at
+/// hardly more of them.
+#[test]
+fn engines_looked_at_do_not_grow_with_the_fleet() {
+    let (few, many) = (counted(1900, 330), counted(1900, 3300));
+    assert_eq!((few.completed, many.completed), (STATEMENTS as u64, STATEMENTS as u64));
+    assert!(
+        many.looked <= 1.5 * few.looked,
+        "a statement: {} of 3,300 engines, {} of 330",
+        many.looked,
+        few.looked
+    );
+}
