Scale: real processes before stand-in engines at thousands of loopback addresses

Cause: nothing measured what a gateway of a large fleet spends on connections, handshakes, memory and processor time.

Change: standins get Crowd, thousands of engines on one thread: one listener on the loopback device a gateway takes the connections to all engines' addresses, and records connections, handshakes and statements by gateway and engine. `bramblewharf-rig scale sockets` starts some of the fleet's gateways before it, asks them, and ends them; sizes, memory and descriptors are checked before anything starts, limits stay as found. A small edition is a test: one process, 36 and 160 engines, counts only.

--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -74,7 +74,7 @@
 }
 
 /// Of this process's own host, and never given twice: a process that is to listen there finds it free.
-fn own_address() -> SocketAddr {
+pub(crate) fn own_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(20_000);
     SocketAddr::new(nobody().ip(), NEXT.fetch_add(1, Ordering::SeqCst))
 }
@@ -657,7 +657,12 @@
 }
 
 /// One statement to its last answer.
-fn call(line: &mut Option<BufReader<TcpStream>>, address: SocketAddr, id: u64, waits: Duration) -> Came {
+pub(crate) fn call(
+    line: &mut Option<BufReader<TcpStream>>,
+    address: SocketAddr,
+    id: u64,
+    waits: Duration,
+) -> Came {
     let head = format!(
         "POST /svc/lookup HTTP/1.1\r\nHost: rig\r\nX-Correlation-Id: {id:016x}\r\nX-Org: acme\r\nX-Deadline-Ms: {}\r\n\
          Content-Length: 8\r\n\r\nSELECT 1",
--- /dev/null
+++ b/crates/rig/tests/scale_sockets.rs
@@ -0,0 +1,91 @@
+//! One real process before stand-in engines at addresses of loopback, small: that what the large runs count can be believed. No
+//! figure here is a time.
+
+use bramblewharf_rig::scale::sockets::{measure, Answers, Args, Seen};
+use std::path::Path;
+
+const STATEMENTS: usize = 240;
+
+fn small() -> Args {
+    Args {
+        gateways: 1900,
+        engines: vec![36, 160],
+        processes: 1,
+        statements: STATEMENTS,
+        clients: vec![20],
+        burst: 0,
+        sockets: 1024,
+        memory_mb: 64,
+        idle_seconds: 0,
+        seed: 1,
+        json: false,
+    }
+}
+
+fn is_there(pid: u32) -> bool {
+    Path::new(&format!("/proc/{pid}")).exists()
+}
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_bramblewharf-rig"))
+}
+
+fn check(seen: &Seen) {
+    let engines = seen.engines;
+    let [process] = &seen.processes[..] else { panic!("{engines}: not one process") };
+    let statements = STATEMENTS as u64;
+    // Each is answered once, and runs once.
+    assert_eq!(process.answers, Answers { completed: statements, ..Answers::default() }, "{engines} engines");
+    assert_eq!((process.begun, process.most_begun), (statements, 1), "{engines} engines");
+    // The walk takes one engine after the other: with few, it knows them all by their addresses. It may keep to a part of many.
+    let least = if engines < 128 { engines } else { 64 };
+    assert!((least..=engines).contains(&process.distinct), "{} of {engines} engines", process.distinct);
+    // Never a connection without a statement for it, nor more than what its bounds leave for engines.
+    assert!(process.handshakes >= process.distinct as u64 && process.handshakes <= statements, "{process:?}");
+    assert!(process.handshakes <= process.bounds.engines, "{process:?}");
+    // Four statements at once, spread over the engines: a connection that has just been used rests, and the next is another.
+    assert!((1..=4 + statements.div_ceil(least as u64)).contains(&process.most_at_one), "{process:?}");
+    assert_eq!(seen.failed, 0, "{engines} engines: connections that were not taken");
+    // Gone, and all its connections with it.
+    assert!(!is_there(process.pid), "a process is left");
+    assert!(seen.resting.iter().all(|(_, resident)| resident.is_some()), "{seen:?}");
+}
+
+#[test]
+fn every_statement_is_answered_once_by_engines_known_by_their_addresses() {
+    let seen = measure(&small(), program()).unwrap();
+    assert_eq!(seen.iter().map(|seen| seen.engines).collect::<Vec<_>>(), [36, 160]);
+    seen.iter().for_each(check);
+}
+
+#[test]
+fn sizes_without_sense_or_room_are_refused_before_anything_is_started() {
+    let odd = [
+        ("--engines", Args { engines: vec![36, 0], ..small() }),
+        ("--engines", Args { engines: vec![], ..small() }),
+        ("--gateways", Args { gateways: 1901, ..small() }),
+        ("--processes", Args { processes: 17, ..small() }),
+        // More than the fleet has.
+        ("--processes", Args { gateways: 2, processes: 3, ..small() }),
+        ("--statements", Args { statements: 0, ..small() }),
+        ("--clients", Args { clients: vec![400, 20_000], ..small() }),
+        ("--sockets", Args { sockets: 64, ..small() }),
+        ("--memory-mb", Args { memory_mb: 1 << 20, ..small() }),
+        ("--burst", Args { burst: 5000, ..small() }),
+        ("--idle-seconds", Args { idle_seconds: 3600, ..small() }),
+    ];
+    for (named, args) in odd {
+        // A program that is not there: whatever is started says so instead.
+        let refused = measure(&args, Path::new("/nowhere/at/all")).unwrap_err();
+        assert!(refused.starts_with(named), "{named}: {refused}");
+    }
+    let crowded = Args { processes: 16, sockets: 65_536, statements: 100_000, memory_mb: 32, ..small() };
+    let refused = measure(&crowded, Path::new("/nowhere/at/all")).unwrap_err();
+    assert!(refused.starts_with("descriptors: ") || refused.starts_with("memory: "), "{refused}");
+}
+
+#[test]
+fn a_program_that_does_not_serve_is_an_error_and_leaves_nothing() {
+    let refused = measure(&small(), Path::new("/bin/true")).unwrap_err();
+    assert!(refused.contains("did not start"), "{refused}");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,11 +2,13 @@
 //! of them decides what is right; the checkers that read their records do.
 
 pub mod checker;
+pub mod crowd;
 pub mod disk;
 pub mod engine;
 pub mod http;
 pub mod works;
 
+pub use crowd::Crowd;
 pub use engine::{answer, Call, Engine, Reply, Take};
 pub use http::read_message;
 pub use works::{most_at_once, Works};
