Scale sockets: ends with its processes when told to, and 4,000 statements a process

Cause: SIGINT or SIGTERM ended the rig without Drop, and its gateways went on. 3,000 statements did not reach each of 3,300 engines once.

Change: both signals are taken by a flag that every step looks at, and become an error; a test sends one and finds no process left. 4,000 statements by default. Memory after the run is told apart for the process that had clients at rest, which keeps what it got for them.

--- a/crates/rig/src/scale/sockets.rs
+++ b/crates/rig/src/scale/sockets.rs
@@ -13,8 +13,8 @@
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Barrier;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Barrier, OnceLock};
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
@@ -52,7 +52,7 @@
     #[arg(long, default_value_t = 4)]
     pub processes: usize,
     /// Statements of each process.
-    #[arg(long, default_value_t = 3000)]
+    #[arg(long, default_value_t = 4000)]
     pub statements: usize,
     /// Connections of clients at rest, of the first process.
     #[arg(long, value_delimiter = ',', default_values_t = [400, 2263])]
@@ -156,6 +156,10 @@
 }
 
 pub fn run(args: &Args) -> Result<Vec<Table>, String> {
+    let flag = OVER.get_or_init(Arc::default);
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, flag.clone()).map_err(|e| format!("signals: {e}"))?;
+    }
     let program = std::env::current_exe().map_err(|e| format!("the program: {e}"))?;
     let load = load();
     // Also what the usual bound of descriptors comes to, and more than that holds.
@@ -173,6 +177,16 @@
     Ok(tables(args, &seen, &usual, [load, self::load()]))
 }
 
+/// Told to end: whatever is under way becomes an error, and its processes end with it.
+static OVER: OnceLock<Arc<AtomicBool>> = OnceLock::new();
+
+fn goes_on() -> io::Result<()> {
+    match OVER.get().is_some_and(|over| over.load(Ordering::SeqCst)) {
+        true => Err(io::Error::other("told to end")),
+        false => Ok(()),
+    }
+}
+
 fn load() -> String {
     let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
     text.split(' ').take(2).collect::<Vec<_>>().join(" ")
@@ -308,6 +322,7 @@
         let crowd = Crowd::start(engines, args.processes, WORKS, args.seed)?;
         let mut served = Vec::new();
         for at in 0..args.processes {
+            goes_on()?;
             eprintln!("{engines} engines: process {} of {}", at + 1, args.processes);
             served.push(start(args, engines, at, program, &crowd, dir.path())?);
         }
@@ -318,7 +333,10 @@
     fn rest(&mut self, span: Duration) -> io::Result<()> {
         let began = Instant::now();
         let before: io::Result<Vec<Duration>> = self.served.iter().map(Served::spent).collect();
-        std::thread::sleep(span);
+        while began.elapsed() < span {
+            goes_on()?;
+            std::thread::sleep(span.saturating_sub(began.elapsed()).min(50 * MS));
+        }
         for (served, before) in self.served.iter_mut().zip(before?) {
             let took = began.elapsed().as_secs_f64();
             served.seen.idle_share = (served.spent()?.saturating_sub(before)).as_secs_f64() / took;
@@ -354,7 +372,7 @@
         let (address, next) = (self.served[at].address, AtomicU64::new(0));
         let client = || {
             let (mut line, mut answers) = (None, Answers::default());
-            while began.elapsed() < LONGEST_RUN {
+            while began.elapsed() < LONGEST_RUN && goes_on().is_ok() {
                 let number = next.fetch_add(1, Ordering::SeqCst);
                 if number >= count as u64 {
                     break;
@@ -364,6 +382,7 @@
             answers
         };
         let answers = all_at(IN_A_ROW, |_| client());
+        goes_on()?;
         let served = &mut self.served[at];
         let spent = served.spent()?.saturating_sub(spent);
         let after = (served.resident()?, served.descriptors()?);
@@ -464,6 +483,7 @@
 fn connect(address: SocketAddr, count: usize, lines: &mut Vec<BufReader<TcpStream>>) -> io::Result<()> {
     let from = lines.len();
     for _ in 0..count {
+        goes_on()?;
         let stream = TcpStream::connect_timeout(&address, LONG)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(3 * WAITS))?;
@@ -485,6 +505,7 @@
 fn becomes(what: &str, holds: impl Fn() -> io::Result<bool>) -> io::Result<()> {
     let began = Instant::now();
     while !holds()? {
+        goes_on()?;
         if began.elapsed() > LONG {
             return Err(io::Error::other(format!("never: {what}")));
         }
@@ -537,6 +558,7 @@
             live(&mut BufReader::new(stream))?;
             break;
         }
+        goes_on()?;
         if served.child.try_wait()?.is_some() || began.elapsed() > LONG {
             return Err(io::Error::other(format!("a gateway did not start: {}", served.text())));
         }
@@ -614,7 +636,8 @@
             "us a statement",
             "to the first",
             "completed a second",
-            "MB after",
+            "MB after, first",
+            "MB after, others",
             "descriptors after",
         ],
     );
@@ -648,6 +671,9 @@
             clients.add(vec![json!(row.engines), json!(count), json!(resident.map(mb)), json!(each)]);
             before = (*count, resident.unwrap_or(before.1));
         }
+        // The first one had clients at rest before, and keeps what it got for them.
+        let others: Vec<f64> = row.processes[1..].iter().map(|of| mb(of.after.0)).collect();
+        let others = (!others.is_empty()).then(|| others.iter().sum::<f64>() / others.len() as f64);
         let answers = |of: fn(&Answers) -> u64| json!(sum(row, |process| of(&process.answers)));
         work.add(vec![
             json!(row.engines),
@@ -660,7 +686,8 @@
             json!(a_statement(row)),
             json!(a_statement(row) / a_statement(&seen[0])),
             json!(mean(row, |of| of.answers.completed as f64 / of.took.as_secs_f64())),
-            json!(mean(row, |of| mb(of.after.0))),
+            json!(mb(row.processes[0].after.0)),
+            json!(others),
             json!(mean(row, |of| of.after.1 as f64)),
         ]);
         lines.add(vec![
--- a/crates/rig/tests/scale_sockets.rs
+++ b/crates/rig/tests/scale_sockets.rs
@@ -2,7 +2,12 @@
 //! figure here is a time.
 
 use bramblewharf_rig::scale::sockets::{measure, Answers, Args, Seen};
+use rustix::process::{Pid, Signal};
+use std::fs;
+use std::io::{BufRead, BufReader};
 use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 const STATEMENTS: usize = 240;
 
@@ -89,3 +94,35 @@
     let refused = measure(&small(), Path::new("/bin/true")).unwrap_err();
     assert!(refused.contains("did not start"), "{refused}");
 }
+
+/// Nothing here takes so long unless it is broken.
+const LONG: Duration = Duration::from_secs(60);
+
+#[test]
+fn told_to_end_it_takes_its_processes_with_it() {
+    let mut command = Command::new(program());
+    command.args(["scale", "sockets", "--engines", "36", "--processes", "2", "--clients", "10"]);
+    command.args(["--idle-seconds", "60", "--statements", "100", "--sockets", "1024", "--memory-mb", "64"]);
+    let mut rig = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    let pid = rig.id();
+    // With the second process it has begun to look at them at rest, or is about to.
+    let said = BufReader::new(rig.stderr.take().unwrap());
+    let mut said = said.lines().map_while(Result::ok);
+    said.find(|line| line.contains("process 2 of 2")).expect("a second process");
+    let children = || {
+        let text = fs::read_to_string(format!("/proc/{pid}/task/{pid}/children")).unwrap_or_default();
+        text.split_whitespace().filter_map(|child| child.parse().ok()).collect::<Vec<u32>>()
+    };
+    let began = Instant::now();
+    while children().len() < 2 {
+        assert!(began.elapsed() < LONG, "never two processes");
+        std::thread::yield_now();
+    }
+    let children = children();
+    let signalled = Pid::from_raw(pid as i32).unwrap();
+    rustix::process::kill_process(signalled, Signal::INT).unwrap();
+    let last: Vec<String> = said.collect();
+    assert!(!rig.wait().unwrap().success(), "{last:?}");
+    assert!(last.iter().any(|line| line.contains("told to end")), "{last:?}");
+    assert!(children.iter().all(|child| !is_there(*child)), "a process is left");
+}
