--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -17,7 +17,7 @@
 use tokio::net::UdpSocket;
 
 /// Bytes that are sent in a second at most; what is beyond is lost, as any datagram may be, and counted.
-const MOST_A_SECOND: u64 = 1 << 20;
+pub const MOST_A_SECOND: u64 = 1 << 20;
 
 pub struct Link {
     socket: UdpSocket,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,5 +22,6 @@
 mod upload;
 mod view;
 
-pub use fleet::machine_time;
+pub use fleet::{machine_time, MOST_A_SECOND};
+pub use peers::LONGEST as LONGEST_OF_PEERS;
 pub use runtime::{Gateway, Ports, Ticks};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 /// The longest datagram that another gateway may send.
-const LONGEST: usize = 256;
+pub const LONGEST: usize = 256;
 
 pub struct Peers {
     socket: UdpSocket,
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -36,6 +36,9 @@
         /// A known mistake, to see that it is found.
         #[arg(long)]
         wrong: Option<Mistake>,
+        /// Killed with whoever started it: nothing that a measurement began is left behind.
+        #[arg(long, hide = true)]
+        ends_with_its_parent: bool,
     },
     /// The fleet's policy, as the program has it.
     #[command(subcommand)]
@@ -93,7 +96,12 @@
 
 fn main() -> ExitCode {
     match Line::parse().command {
-        Command::Serve { config, settings, clock_fast, wrong } => serve(config, settings, clock_fast, wrong),
+        Command::Serve { config, settings, clock_fast, wrong, ends_with_its_parent } => {
+            if ends_with_its_parent {
+                let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+            }
+            serve(config, settings, clock_fast, wrong)
+        }
         Command::Policy(command) => policy_cli::run(&command).unwrap_or_else(|message| {
             eprintln!("bramblewharf-rig: {message}");
             ExitCode::FAILURE
