--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -29,6 +29,9 @@
     /// In the list that each is told at its start; without it, 36 at 30 gateways and 330 at more.
     #[arg(long)]
     pub engines: Option<usize>,
+    /// Of an engine.
+    #[arg(long, default_value_t = 12)]
+    pub cores: usize,
     /// Real processes of the program.
     #[arg(long, default_value_t = 3)]
     pub processes: usize,
@@ -49,6 +52,9 @@
     /// As JSON.
     #[arg(long)]
     pub json: bool,
+    /// Killed with whoever started it: no size goes on alone.
+    #[arg(long, hide = true)]
+    pub ends_with_its_parent: bool,
 }
 
 impl Args {
@@ -66,6 +72,7 @@
 /// Refuses what makes no sense or has no room, before anything is started.
 pub fn plans(args: &Args, memory: (u64, u64), program: &Path) -> Result<Vec<Plan>, String> {
     room::sized("processes", args.processes, 0, 20)?;
+    room::sized("cores", args.cores, 1, 1024)?;
     room::sized("seats", args.seats, 1, 9)?;
     room::sized("lease", args.lease as usize, 1000, 60_000)?;
     room::sized("statements-a-second", args.statements_a_second as usize, 1, 200)?;
@@ -80,21 +87,25 @@
         let hollow = (gateways - args.processes) as u64;
         let bytes = hollow * (EACH + EACH_ENGINE * engines as u64) + PROCESS * args.processes as u64;
         room::check(memory, bytes, args.processes)?;
-        let (processes, seed, lease) = (args.processes, args.seed, Duration::from_millis(args.lease));
-        Ok(Plan { gateways, processes, engines, seats, lease, seed, program: program.into() })
+        let Args { processes, cores, seed, .. } = *args;
+        let lease = Duration::from_millis(args.lease);
+        Ok(Plan { gateways, processes, engines, cores, seats, lease, seed, program: program.into() })
     };
     args.sizes().into_iter().map(of).collect()
 }
 
 pub fn run(args: &Args) -> Result<Vec<Table>, String> {
+    if args.ends_with_its_parent {
+        let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+    }
     let program = std::env::current_exe().map_err(|e| format!("program: {e}"))?;
-    let mut plans = plans(args, room::memory()?, &program)?;
-    if let (1, Some(plan)) = (plans.len(), plans.pop()) {
-        return measure::all(plan, args);
+    let plans = plans(args, room::memory()?, &program)?;
+    if let [plan] = &plans[..] {
+        return measure::all(plan.clone(), args);
     }
     let mut tables: Vec<Table> = Vec::new();
-    for (gateways, engines) in args.sizes() {
-        for (at, table) in apart(args, &program, gateways, engines)?.into_iter().enumerate() {
+    for plan in &plans {
+        for (at, table) in apart(args, plan)?.into_iter().enumerate() {
             match tables.get_mut(at) {
                 Some(before) => before.rows.extend(table.rows),
                 None => tables.push(table),
@@ -115,14 +126,16 @@
 }
 
 /// One size in a process of its own: memory that an earlier size had would hide what the next one takes.
-fn apart(args: &Args, program: &Path, gateways: usize, engines: usize) -> Result<Vec<Table>, String> {
-    let mut command = Command::new(program);
-    command.args(["scale", "hollow", "--json"]);
+fn apart(args: &Args, plan: &Plan) -> Result<Vec<Table>, String> {
+    let Plan { gateways, engines, seats, .. } = *plan;
+    let mut command = Command::new(&plan.program);
+    command.args(["scale", "hollow", "--json", "--ends-with-its-parent"]);
     let numbers = [
         ("gateways", gateways as u64),
         ("engines", engines as u64),
+        ("cores", args.cores as u64),
         ("processes", args.processes as u64),
-        ("seats", args.seats as u64),
+        ("seats", seats as u64),
         ("lease", args.lease),
         ("statements-a-second", args.statements_a_second),
         ("seconds", args.seconds),
--- a/crates/rig/src/scale/hollow/fleet.rs
+++ b/crates/rig/src/scale/hollow/fleet.rs
@@ -12,7 +12,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -40,6 +40,8 @@
     pub gateways: usize,
     pub processes: usize,
     pub engines: usize,
+    /// Of an engine: gateways speak of engines only where a slice of one is less than a statement.
+    pub cores: usize,
     pub seats: usize,
     pub lease: Duration,
     pub seed: u64,
@@ -169,6 +171,9 @@
         };
         let hollow = plan.gateways - plan.processes;
         let host = nobody().ip();
+        // Below those that the system gives out, and none of them twice: fleets of one process may be there at once.
+        static NEXT: AtomicU16 = AtomicU16::new(0);
+        let ports = NEXT.fetch_add(plan.processes as u16, Relaxed);
         let bind = || -> Result<Vec<UdpSocket>, String> {
             let bound = (0..hollow).map(|_| {
                 let socket = UdpSocket::bind((host, 0))?;
@@ -180,13 +185,12 @@
         let addresses = |sockets: &[UdpSocket], first: u16| -> Result<Vec<SocketAddr>, String> {
             let own = sockets.iter().map(UdpSocket::local_addr).collect::<io::Result<Vec<_>>>();
             let mut own = own.map_err(io("sockets of hollow gateways"))?;
-            // Below those that the system gives out.
-            own.extend((0..plan.processes).map(|at| SocketAddr::new(host, first + at as u16)));
+            own.extend((0..plan.processes).map(|at| SocketAddr::new(host, first + ports + at as u16)));
             Ok(own)
         };
         let (fleet, peers) = (addresses(&of_fleet, 21_000)?, addresses(&of_peers, 22_000)?);
         let dir = tempfile::tempdir().map_err(io("folder"))?;
-        let files = Files { plan: &plan, dir: dir.path(), fleet: &fleet, peers: &peers, host };
+        let files = Files { plan: &plan, dir: dir.path(), fleet: &fleet, peers: &peers, host, ports };
         files.write_shared().map_err(io("files"))?;
         let (config, settings) = files.write(0).map_err(io("files"))?;
         let template = config::load(Some(config), Some(&settings))?;
@@ -224,7 +228,7 @@
             Fleet { plan, shared, threads: running, reals: Vec::new(), dir, proposals: 0, before, host };
         for place in hollow..fleet.plan.gateways {
             let (dir, seats, peers) = (fleet.dir.path(), &fleet.shared.seats, &fleet.shared.peers);
-            let files = Files { plan: &fleet.plan, dir, fleet: seats, peers, host };
+            let files = Files { plan: &fleet.plan, dir, fleet: seats, peers, host, ports };
             let real = files.start(place).map_err(io("a real process"))?;
             fleet.reals.push(real);
         }
@@ -439,6 +443,8 @@
     fleet: &'a [SocketAddr],
     peers: &'a [SocketAddr],
     host: IpAddr,
+    /// The first of the real processes' ports, beyond what each kind begins with.
+    ports: u16,
 }
 
 impl Files<'_> {
@@ -461,7 +467,7 @@
 
     /// The configuration and the settings of one place.
     fn write(&self, at: usize) -> io::Result<(PathBuf, PathBuf)> {
-        let Plan { gateways, engines, lease, seed, processes, .. } = self.plan;
+        let Plan { gateways, engines, cores, lease, seed, processes, .. } = self.plan;
         let members: Vec<Value> = (0..*engines)
             .map(|engine| {
                 let [high, low] = (engine as u16).to_be_bytes();
@@ -471,7 +477,7 @@
             })
             .collect();
         let peers: Vec<String> = self.peers.iter().map(SocketAddr::to_string).collect();
-        let real = at.saturating_sub(gateways - processes) as u16;
+        let real = self.ports + at.saturating_sub(gateways - processes) as u16;
         let port = |first: u16| SocketAddr::new(self.host, first + real).to_string();
         let config = json!({
             "name": format!("g-{at}"), "listen": port(20_000), "seed": format!("{seed:x}"),
@@ -480,7 +486,7 @@
             "known": {"no": 1, "items": [{"no": 1, "roster": {"revision": 1, "complete": true, "members": members}}]},
             "settings": {
                 "balancers": gateways, "rank": at, "zone": zone(at), "tickUs": 5000, "kinds": ["std"],
-                "tenants": [{"name": "acme"}], "domain": {"sizeCores": [12]},
+                "tenants": [{"name": "acme"}], "domain": {"sizeCores": [cores]},
                 "profiles": [{"name": "lookup", "promiseUs": 400_000, "deadlineUs": WAITS.as_micros() as u64,
                     "effect": "read_like", "gain": 1}],
                 "allowed": {"tryLimit": 2, "mayCancel": true, "secondCopies": true, "retryAfter": true, "peers": true,
