--- a/crates/rig/src/scale/hollow/fleet.rs
+++ b/crates/rig/src/scale/hollow/fleet.rs
@@ -63,6 +63,8 @@
     /// By engine.
     pub ill: Vec<AtomicBool>,
     pub watched: Vec<AtomicBool>,
+    /// Executions there so far, of all hollow gateways.
+    pub used: Vec<AtomicU64>,
     /// By thread: the processor time that it has had, in microseconds.
     pub took: Vec<AtomicU64>,
 }
@@ -208,6 +210,7 @@
             over: AtomicBool::new(false),
             ill: several(plan.engines),
             watched: several(plan.engines),
+            used: (0..plan.engines).map(|_| AtomicU64::new(0)).collect(),
             took: (0..threads).map(|_| AtomicU64::new(0)).collect(),
         });
         let before = resident();
--- a/crates/rig/src/scale/hollow/gateway.rs
+++ b/crates/rig/src/scale/hollow/gateway.rs
@@ -170,6 +170,9 @@
             Effect::Start { id, execution, address, .. } => {
                 add(&self.seen().executions, 1);
                 let engine = self.shared.engine(address);
+                if let Some(at) = engine {
+                    self.shared.used[at].fetch_add(1, Relaxed);
+                }
                 let ill = engine.is_some_and(|at| self.shared.ill[at].load(Relaxed));
                 if engine.is_some_and(|at| self.shared.watched[at].load(Relaxed)) {
                     add(&self.seen().watched, 1);
