--- /dev/null
+++ b/crates/rig/src/agreed.rs
@@ -0,0 +1,669 @@
+//! What a fleet agrees on, in virtual time: of each gateway the machine of its leave and the one of its policy, with nothing else
+//! around them. Sizes and costs are looked at here; what must hold is checked by `simulated` and in the policy's own tests.
+
+use bramblewharf_budgets::{Budget, Claim, Measure, Scope, GRAIN};
+use bramblewharf_fleet::node::{self, To};
+use bramblewharf_fleet::wire::{Message, Party};
+use bramblewharf_fleet::{Envelope, Incarnation, Key, Terms};
+use bramblewharf_policy::say::PIECE;
+use bramblewharf_policy::{Check, Digest, Kept, Limits, Node as Policy, Revision, Rules, Say};
+use nanorand::{Rng, WyRand};
+use rustix::time::{clock_gettime, ClockId};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+const MS: Duration = Duration::from_millis(1);
+/// Bytes that one gateway sends to the fleet in a second at the most, as its link has it: what is beyond is lost.
+pub const MOST_A_SECOND: u64 = 1 << 20;
+/// What IP and UDP put before each message.
+pub const HEADERS: u64 = 28;
+/// Of how many regions a gateway's and a seat's number says which is its own.
+pub const REGIONS: usize = 5;
+const TOOL: u16 = 60_000;
+/// How often whoever proposes offers it again.
+const OFFERED_AGAIN: Duration = Duration::from_millis(200);
+/// From the write of a policy's file until it is on the disk.
+const DISK: Duration = Duration::from_millis(5);
+
+#[derive(Clone, Debug)]
+pub struct Agreed {
+    pub gateways: usize,
+    pub seats: u8,
+    pub lease: Duration,
+    /// With a policy, whose first text has so many bytes; none: leave alone.
+    pub policy: Option<usize>,
+    /// What a message takes from one region to another, beyond what it takes within one.
+    pub between_regions: Duration,
+    pub seed: u64,
+}
+
+impl Default for Agreed {
+    fn default() -> Agreed {
+        Agreed {
+            gateways: 30,
+            seats: 3,
+            lease: 2000 * MS,
+            policy: None,
+            between_regions: Duration::ZERO,
+            seed: 1,
+        }
+    }
+}
+
+/// Said and heard by one gateway: bytes without `HEADERS`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub said: u64,
+    pub said_bytes: u64,
+    pub heard: u64,
+    pub heard_bytes: u64,
+    /// Lost because more than `MOST_A_SECOND` was to be sent.
+    pub held_back: u64,
+    /// Processor time of this thread in its machines, and in writing and reading what they say; of seats and of the last gateway.
+    pub machines: Duration,
+    pub codec: Duration,
+}
+
+impl Traffic {
+    pub fn since(&self, before: &Traffic) -> Traffic {
+        Traffic {
+            said: self.said - before.said,
+            said_bytes: self.said_bytes - before.said_bytes,
+            heard: self.heard - before.heard,
+            heard_bytes: self.heard_bytes - before.heard_bytes,
+            held_back: self.held_back - before.held_back,
+            machines: self.machines - before.machines,
+            codec: self.codec - before.codec,
+        }
+    }
+}
+
+struct Gateway {
+    leave: Option<node::Node>,
+    policy: Option<Policy>,
+    incarnation: u64,
+    /// What its disk has of the policy.
+    file: Option<(u64, Kept)>,
+    wakes: Option<Duration>,
+    /// Bytes sent since the second began.
+    second: (Duration, u64),
+    traffic: Traffic,
+    /// The seat that gave it leave last, and when.
+    given_by: Option<(u8, Duration)>,
+    started: Duration,
+}
+
+enum Event {
+    Wake(usize, u64),
+    Arrives { to: usize, from: SocketAddr, envelope: Box<Envelope>, bytes: u64 },
+    Kept { at: usize, incarnation: u64, generation: u64, kept: Box<Kept> },
+    Start(usize),
+    Restart,
+    Offer(usize),
+}
+
+struct Queued(Duration, u64, Event);
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Queued) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Queued {}
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Queued) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Queued {
+    fn cmp(&self, other: &Queued) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// A change that is proposed: offered again until it is in force or refused.
+struct Offered {
+    text: Revision,
+    wait: Duration,
+    over: bool,
+}
+
+pub struct World {
+    pub now: Duration,
+    of: Agreed,
+    terms: Terms,
+    check: Check,
+    key: Key,
+    rng: WyRand,
+    queue: BinaryHeap<Reverse<Queued>>,
+    order: u64,
+    gateways: Vec<Gateway>,
+    /// The region that hears no other.
+    cut: Option<usize>,
+    /// Where the operators' tool stands.
+    tool: usize,
+    /// Starts anew: so many a second, each away for so long.
+    restarts: (f64, Duration),
+    offers: Vec<Offered>,
+    /// What two looks at the thread's clock take by themselves.
+    look: Duration,
+}
+
+fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+fn address(of: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 1 + of as u16))
+}
+
+/// A text of words by commas: `NAME=most executions`; `alone`: a gateway alone may do nothing; `#...` says nothing.
+fn check() -> Check {
+    Arc::new(|revision: &Revision| {
+        let mut rules = Rules::default();
+        for word in revision.text.split(',').filter(|word| !word.is_empty() && !word.starts_with('#')) {
+            if word == "alone" {
+                rules.alone = Some(Default::default());
+                continue;
+            }
+            let (name, most) = word.split_once('=').ok_or("no such key")?;
+            let executions = Some(most.parse().map_err(|_| "no number")?);
+            rules.workloads.insert(name.into(), Limits { executions, ..Limits::default() });
+        }
+        Ok(rules)
+    })
+}
+
+/// A revision whose text has so many bytes.
+pub fn revision(number: u64, before: Digest, words: &str, bytes: usize) -> Revision {
+    let text = format!("{words},#{}", "x".repeat(bytes.saturating_sub(words.len() + 2)));
+    Revision { number, before, author: "ops".into(), reason: "a measurement".into(), text }
+}
+
+/// What the first text permits, which later ones widen or narrow.
+pub const FIRST: &str = "load=3,report=3";
+/// The same, and a gateway alone may do nothing.
+pub const FIRST_CLOSED: &str = "load=3,report=3,alone";
+
+impl World {
+    pub fn new(of: Agreed, first: &str) -> World {
+        let terms = Terms {
+            fleet: 1,
+            places: of.gateways as u32,
+            seats: of.seats,
+            lease: of.lease,
+            drift_percent: 1,
+            run_out: 1300 * MS,
+            engines_keep: 500 * MS,
+            wrong: None,
+        };
+        let gateway = || Gateway {
+            leave: None,
+            policy: None,
+            incarnation: 0,
+            file: None,
+            wakes: None,
+            second: (Duration::ZERO, 0),
+            traffic: Traffic::default(),
+            given_by: None,
+            started: Duration::ZERO,
+        };
+        let looks = 2000;
+        let began = thread_time();
+        (0..looks).for_each(|_| {
+            std::hint::black_box(thread_time());
+        });
+        let look = (thread_time() - began) / looks;
+        let mut world = World {
+            now: 1000 * Duration::from_secs(1),
+            check: check(),
+            key: Key::read(b"a key of sixteen bytes").expect("long enough"),
+            rng: WyRand::new_seed(of.seed),
+            queue: BinaryHeap::new(),
+            order: 0,
+            gateways: (0..of.gateways).map(|_| gateway()).collect(),
+            cut: None,
+            tool: 0,
+            restarts: (0.0, Duration::ZERO),
+            offers: Vec::new(),
+            look,
+            terms,
+            of,
+        };
+        world.offers.extend(world.of.policy.map(|bytes| Offered {
+            text: revision(1, Digest::default(), first, bytes),
+            wait: Duration::ZERO,
+            over: true,
+        }));
+        (0..world.gateways.len()).for_each(|at| world.start(at));
+        world
+    }
+
+    fn queue(&mut self, at: Duration, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse(Queued(at.max(self.now), self.order, event)));
+    }
+
+    pub fn run(&mut self, lasts: Duration) {
+        let until = self.now + lasts;
+        while self.queue.peek().is_some_and(|next| next.0 .0 <= until) {
+            let Some(Reverse(Queued(at, _, event))) = self.queue.pop() else { break };
+            self.now = at;
+            self.happen(event);
+        }
+        self.now = until;
+    }
+
+    /// Looks every 20 ms: how long it took, or none where it did not come about within so long.
+    pub fn run_until(&mut self, within: Duration, so: impl Fn(&mut World) -> bool) -> Option<Duration> {
+        let began = self.now;
+        while self.now < began + within {
+            if so(self) {
+                return Some(self.now - began);
+            }
+            self.run(20 * MS);
+        }
+        so(self).then(|| self.now - began)
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        let gateway = &mut self.gateways[at];
+        (gateway.leave, gateway.policy, gateway.given_by) = (None, None, None);
+    }
+
+    /// A new process at that place, with what its disk has.
+    pub fn start(&mut self, at: usize) {
+        if self.gateways[at].leave.is_some() {
+            return;
+        }
+        let (seed, now) = (self.rng.generate(), self.now);
+        let budget = Budget {
+            name: "whole".into(),
+            scope: Scope::default(),
+            measure: Measure::StatementsAtOnce,
+            whole: 20 * self.of.gateways as u64 * GRAIN,
+            floor_percent: 25,
+            quantum: GRAIN,
+            burst: Duration::ZERO,
+        };
+        let gateway = &mut self.gateways[at];
+        gateway.incarnation += 1;
+        gateway.started = now;
+        let incarnation = (now.as_nanos() as u64) << 8 | gateway.incarnation & 0xff;
+        let seat = u8::try_from(at).ok().filter(|seat| *seat < self.of.seats);
+        let mut leave = node::Node::start(
+            node::Start {
+                place: at as u32,
+                seat,
+                incarnation: Incarnation(incarnation),
+                terms: self.terms.clone(),
+                budgets: vec![budget],
+                table: 1,
+                seed,
+            },
+            now,
+        );
+        // What it has in use for as long as it runs, so that it needs some.
+        let claim = Claim { workload: 0, customer: None, kind: "", weight: 1.0, mem_mb: 0.0, before: 0 };
+        let took = leave.room(now).take(&claim);
+        leave.took(now, &took);
+        gateway.leave = Some(leave);
+        gateway.policy = self.offers.first().and_then(|first| {
+            let start = bramblewharf_policy::Start {
+                place: at as u32,
+                seat,
+                terms: bramblewharf_policy::Terms { fleet: self.terms.clone(), wrong: None },
+                check: self.check.clone(),
+                own: first.text.clone(),
+                file: gateway.file.clone(),
+                incarnation,
+                wait: 3000 * MS,
+                start_alone: false,
+            };
+            Policy::start(start, now).ok()
+        });
+        // A fleet is not started in one moment.
+        let soon = now + Duration::from_micros(self.rng.generate_range(0..20_000));
+        gateway.wakes = Some(soon);
+        let incarnation = gateway.incarnation;
+        self.queue(soon, Event::Wake(at, incarnation));
+    }
+
+    pub fn start_later(&mut self, at: usize, after: Duration) {
+        self.queue(self.now + after, Event::Start(at));
+    }
+
+    /// From now on so many start anew a second, anywhere but at the seats and the first that is not one.
+    pub fn restart_always(&mut self, a_second: f64, away: Duration) {
+        self.restarts = (a_second, away);
+        self.queue(self.now, Event::Restart);
+    }
+
+    /// Cuts a region off, or none any more.
+    pub fn cut(&mut self, region: Option<usize>) {
+        self.cut = region;
+    }
+
+    /// Whoever proposes stands in the region of whoever keeps, as operators who can't reach it go elsewhere.
+    pub fn propose(&mut self, text: Revision, wait: Duration) {
+        self.tool = self.keeper().unwrap_or(0);
+        self.offers.push(Offered { text, wait, over: false });
+        self.queue(self.now, Event::Offer(self.offers.len() - 1));
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Wake(at, incarnation) => {
+                if self.gateways[at].incarnation == incarnation && self.gateways[at].leave.is_some() {
+                    self.gateways[at].wakes = None;
+                    self.step(at, None);
+                }
+            }
+            Event::Arrives { to, from, envelope, bytes } => {
+                let gateway = &mut self.gateways[to];
+                if gateway.leave.is_none() {
+                    return;
+                }
+                gateway.traffic.heard += 1;
+                gateway.traffic.heard_bytes += bytes;
+                if let (Message::Give(_), Party::Seat(seat)) = (&envelope.message, envelope.from) {
+                    gateway.given_by = Some((seat, self.now));
+                }
+                self.step(to, Some((*envelope, from)));
+            }
+            Event::Kept { at, incarnation, generation, kept } => {
+                let gateway = &mut self.gateways[at];
+                if gateway.incarnation != incarnation || gateway.leave.is_none() {
+                    return;
+                }
+                gateway.file = Some((generation, *kept));
+                let more = gateway.policy.as_mut().map(|policy| policy.kept(generation, true));
+                self.carry_policy(at, more.unwrap_or_default());
+            }
+            Event::Start(at) => self.start(at),
+            Event::Restart => {
+                let (a_second, away) = self.restarts;
+                if a_second <= 0.0 {
+                    return;
+                }
+                let first = usize::from(self.of.seats) + 1;
+                if first < self.gateways.len() {
+                    let at = self.rng.generate_range(first..self.gateways.len());
+                    if self.gateways[at].leave.is_some() {
+                        self.kill(at);
+                        self.start_later(at, away);
+                    }
+                }
+                let pause = -(1.0 - self.rng.generate::<f64>()).ln() / a_second;
+                self.queue(self.now + Duration::from_secs_f64(pause), Event::Restart);
+            }
+            Event::Offer(at) => {
+                if self.offers[at].over {
+                    return;
+                }
+                let (digest, wait) = (self.offers[at].text.digest(), self.offers[at].wait);
+                let say = Say::Offer { digest, wait_ms: wait.as_millis() as u64 };
+                for seat in 0..usize::from(self.of.seats) {
+                    self.tool_says(seat, &say);
+                }
+                self.queue(self.now + OFFERED_AGAIN, Event::Offer(at));
+            }
+        }
+    }
+
+    fn tool_says(&mut self, to: usize, say: &Say) {
+        let message = Message::Policy(say.write());
+        let incarnation = Incarnation(1);
+        let envelope =
+            Envelope { fleet: self.terms.fleet, from: Party::Tool, incarnation, number: 1, message };
+        let from = SocketAddr::from((Ipv4Addr::LOCALHOST, TOOL));
+        let Some(bytes) = envelope.write(&self.key) else { return };
+        self.carry(self.tool, to, from, envelope, bytes.len() as u64);
+    }
+
+    fn heard_by_tool(&mut self, of: usize, envelope: &Envelope) {
+        let Message::Policy(bytes) = &envelope.message else { return };
+        match Say::read(bytes) {
+            Some(Say::Get { digest, from }) => {
+                let Some(offer) = self.offers.iter().find(|offer| offer.text.digest() == digest) else {
+                    return;
+                };
+                let text = offer.text.write();
+                let at = (from as usize).min(text.len());
+                let piece = text[at..(at + PIECE).min(text.len())].to_vec();
+                let say = Say::Piece { digest, from, whole: text.len() as u32, bytes: piece };
+                self.tool_says(of, &say);
+            }
+            Some(Say::Stands(stands)) => {
+                for offer in &mut self.offers {
+                    let digest = offer.text.digest();
+                    let refused = stands.last.as_ref().is_some_and(|(last, why)| {
+                        *last == digest && why.as_ref().is_some_and(|why| !why.contains("under way"))
+                    });
+                    offer.over |= stands.now == digest || refused;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn timed(&self, at: usize) -> bool {
+        at < usize::from(self.of.seats) || at + 1 == self.gateways.len()
+    }
+
+    /// As the reducer does: what came, then the machines' own time.
+    fn step(&mut self, at: usize, heard: Option<(Envelope, SocketAddr)>) {
+        let (now, timed) = (self.now, self.timed(at));
+        let began = timed.then(thread_time);
+        let gateway = &mut self.gateways[at];
+        let Some(leave) = &mut gateway.leave else { return };
+        let (mut effects, mut of_policy) = (Vec::new(), Vec::new());
+        match heard {
+            Some((Envelope { from: party, message: Message::Policy(bytes), .. }, from)) => {
+                let (to, place) = match party {
+                    Party::Seat(seat) => (To::Seat(seat), None),
+                    Party::Place(place) => (To::Address(from), Some(place)),
+                    Party::Tool => (To::Address(from), None),
+                };
+                if let (Some(policy), Some(say)) = (&mut gateway.policy, Say::read(&bytes)) {
+                    of_policy = policy.heard(now, to, place, say, leave.right(now));
+                }
+            }
+            Some((envelope, from)) => effects = leave.heard(now, envelope, from),
+            None => {
+                effects = leave.tick(now);
+                if let Some(policy) = gateway.policy.as_mut().filter(|policy| now >= policy.due(now)) {
+                    of_policy = policy.tick(now, leave.right(now));
+                }
+            }
+        }
+        if let Some(began) = began {
+            gateway.traffic.machines += (thread_time() - began).saturating_sub(self.look);
+        }
+        for effect in effects {
+            if let node::Effect::Say { to, envelope } = effect {
+                self.say(at, to, envelope);
+            }
+        }
+        self.carry_policy(at, of_policy);
+        self.wake(at);
+    }
+
+    fn carry_policy(&mut self, at: usize, effects: Vec<bramblewharf_policy::Effect>) {
+        for effect in effects {
+            match effect {
+                bramblewharf_policy::Effect::Say { to, say } => {
+                    let as_place = matches!(say, Say::Ask(_));
+                    let message = Message::Policy(say.write());
+                    let envelope =
+                        self.gateways[at].leave.as_mut().map(|leave| leave.wrap(message, as_place));
+                    if let Some(envelope) = envelope {
+                        self.say(at, to, envelope);
+                    }
+                }
+                bramblewharf_policy::Effect::Keep { generation, bytes } => {
+                    let Ok((_, kept)) = Kept::read(&bytes) else { continue };
+                    let incarnation = self.gateways[at].incarnation;
+                    let kept = Box::new(kept);
+                    self.queue(self.now + DISK, Event::Kept { at, incarnation, generation, kept });
+                }
+                bramblewharf_policy::Effect::Permit => {}
+            }
+        }
+    }
+
+    fn wake(&mut self, at: usize) {
+        let now = self.now;
+        let gateway = &mut self.gateways[at];
+        let Some(leave) = &gateway.leave else { return };
+        let policy = gateway.policy.as_ref().map(|policy| policy.due(now));
+        let due = policy.into_iter().chain([leave.due(now)]).min().unwrap_or(now).max(now + MS / 10);
+        if gateway.wakes.is_none_or(|other| due < other || other <= now) {
+            gateway.wakes = Some(due);
+            let incarnation = gateway.incarnation;
+            self.queue(due, Event::Wake(at, incarnation));
+        }
+    }
+
+    fn say(&mut self, from: usize, to: To, envelope: Envelope) {
+        let timed = self.timed(from);
+        let began = timed.then(thread_time);
+        let Some(bytes) = envelope.write(&self.key) else { return };
+        let took = began.map(|began| (thread_time() - began).saturating_sub(self.look));
+        let length = bytes.len() as u64;
+        let now = self.now;
+        let gateway = &mut self.gateways[from];
+        gateway.traffic.codec += took.unwrap_or_default();
+        if now >= gateway.second.0 + Duration::from_secs(1) {
+            gateway.second = (now, 0);
+        }
+        if gateway.second.1 + length > MOST_A_SECOND {
+            gateway.traffic.held_back += 1;
+            return;
+        }
+        gateway.second.1 += length;
+        gateway.traffic.said += 1;
+        gateway.traffic.said_bytes += length;
+        let to = match to {
+            To::Seat(seat) => usize::from(seat),
+            To::Address(address) if address.port() == TOOL => return self.heard_by_tool(from, &envelope),
+            To::Address(address) => usize::from(address.port()) - 1,
+        };
+        if self.timed(to) {
+            let began = thread_time();
+            std::hint::black_box(Envelope::read(&bytes, &self.key, self.terms.fleet));
+            self.gateways[to].traffic.codec += (thread_time() - began).saturating_sub(self.look);
+        }
+        self.carry(from, to, address(from), envelope, length);
+    }
+
+    fn carry(&mut self, from: usize, to: usize, by: SocketAddr, envelope: Envelope, bytes: u64) {
+        let (one, other) = (from % REGIONS, to % REGIONS);
+        if to >= self.gateways.len() || one != other && (self.cut == Some(one) || self.cut == Some(other)) {
+            return;
+        }
+        let mut delay = Duration::from_micros(self.rng.generate_range(50..1500));
+        if one != other {
+            delay += self.of.between_regions;
+        }
+        let envelope = Box::new(envelope);
+        self.queue(self.now + delay, Event::Arrives { to, from: by, envelope, bytes });
+    }
+
+    /// Of all that are there and not cut off.
+    fn reached(&self) -> impl Iterator<Item = usize> + '_ {
+        let there = |at: &usize| self.gateways[*at].leave.is_some() && self.cut != Some(at % REGIONS);
+        (0..self.gateways.len()).filter(there)
+    }
+
+    pub fn keeper(&self) -> Option<usize> {
+        let seats = self.reached().take_while(|at| *at < usize::from(self.of.seats));
+        seats
+            .into_iter()
+            .find(|at| self.gateways[*at].leave.as_ref().is_some_and(|node| node.keeps(self.now)))
+    }
+
+    pub fn is_there(&self, at: usize) -> bool {
+        self.gateways[at].leave.is_some()
+    }
+
+    /// Gateways that are there, can be reached, and have no leave: of budgets, and of the policy where there is one.
+    pub fn without_leave(&mut self) -> (usize, usize) {
+        let (now, reached) = (self.now, self.reached().collect::<Vec<_>>());
+        let (mut leave, mut policy) = (0, 0);
+        for at in reached {
+            let gateway = &mut self.gateways[at];
+            let Some(node) = &mut gateway.leave else { continue };
+            leave += usize::from(!node.status(now).has_leave);
+            policy += usize::from(gateway.policy.as_ref().is_some_and(|policy| policy.phase(now).is_none()));
+        }
+        (leave, policy)
+    }
+
+    /// Whether somebody, or everybody that can be reached, was given leave by another seat than this since then. The keeper's own
+    /// gateway asks without a message.
+    pub fn given_since(&self, since: Duration, but: usize, all: bool) -> bool {
+        let keeper = self.keeper();
+        let given = |at: usize| {
+            self.gateways[at].given_by.is_some_and(|(seat, when)| when > since && usize::from(seat) != but)
+        };
+        match all {
+            true => keeper.is_some() && self.reached().all(|at| given(at) || Some(at) == keeper),
+            false => self.reached().any(given),
+        }
+    }
+
+    /// Whether a new keeper still waits for what was given before it.
+    pub fn waits_out(&mut self) -> bool {
+        let now = self.now;
+        let keeper = self.keeper();
+        let leave = keeper.and_then(|at| self.gateways[at].leave.as_mut());
+        leave.is_none_or(|leave| leave.status(now).keeper.is_none_or(|keeper| keeper.waits_out))
+    }
+
+    /// What whoever keeps says of the policy: the phase, what is in force, how the last proposal ended, whom one waits for.
+    pub fn stands(&self) -> Option<bramblewharf_policy::say::Stands> {
+        let at = self.keeper()?;
+        self.gateways[at].policy.as_ref()?.status(self.now).keeps
+    }
+
+    /// Whether all that are there and can be reached decide by that one alone. One that has only started may have no leave yet.
+    pub fn in_force(&self, digest: Digest) -> bool {
+        self.reached().all(|at| {
+            let gateway = &self.gateways[at];
+            gateway.policy.as_ref().is_some_and(|policy| match policy.phase(self.now) {
+                None => self.now < gateway.started + 3000 * MS,
+                Some(phase) => {
+                    let by = policy.status(self.now).acts_by;
+                    !phase.is_both() && by.is_some_and(|(_, by)| by == digest)
+                }
+            })
+        })
+    }
+
+    /// How a proposal ended, where it is over: why it was refused, if it was.
+    pub fn refused(&self, digest: Digest) -> Option<String> {
+        let (last, why) = self.stands()?.last?;
+        why.filter(|why| last == digest && !why.contains("under way"))
+    }
+
+    pub fn traffic(&self, at: usize) -> Traffic {
+        self.gateways[at].traffic
+    }
+
+    pub fn len(&self) -> usize {
+        self.gateways.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.gateways.is_empty()
+    }
+
+    pub fn all(&self) -> Vec<Traffic> {
+        self.gateways.iter().map(|gateway| gateway.traffic).collect()
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,7 +1,8 @@
-//! Fleets under fire. `simulated` plays the machines of a fleet in virtual time, thousands of them, with a network that loses,
+//! Fleets under fire. `agreed` plays what a fleet agrees on, at any size; `simulated` plays the machines of a fleet in virtual time, thousands of them, with a network that loses,
 //! doubles, delays and cuts; `world` starts the program itself, with a `relay` on each way between processes; `campaign` plays plans against them; `scale` measures
 //! fleets at the operators' size; `plan` says what breaks when, by a seed, and makes a plan that fails smaller.
 
+pub mod agreed;
 pub mod campaign;
 pub mod plan;
 pub mod relay;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,12 +1,11 @@
 //! Campaigns against fleets: many plans of faults, and the smallest that breaks something.
 
-use bramblewharf_budgets::GRAIN;
 use bramblewharf_fleet::Wrong;
 use bramblewharf_gateway::{cli, machine_time, policy_cli, Ports};
 use bramblewharf_rig::campaign;
 use bramblewharf_rig::plan::{draw, kinds, smaller, Plan};
 use bramblewharf_rig::scale::{self, Scale};
-use bramblewharf_rig::simulated::{play, Fleet, World};
+use bramblewharf_rig::simulated::{play, Fleet};
 use bramblewharf_rig::world;
 use clap::{Parser, Subcommand, ValueEnum};
 use rayon::prelude::*;
@@ -56,9 +55,6 @@
         #[arg(long, default_value_t = 12)]
         seconds: u64,
     },
-    /// What keeping leave costs in fleets of several sizes, in virtual time: the keeper's share of this machine's core, and what
-    /// each gateway says in a second.
-    Sizes,
     /// Fleets at the operators' size.
     #[command(subcommand)]
     Scale(Scale),
@@ -101,7 +97,6 @@
         Command::Campaign { from, plans, gateways, seats, faults, seconds } => {
             against_processes(from, plans, gateways, seats, faults, Duration::from_secs(seconds))
         }
-        Command::Sizes => sizes(),
         Command::Scale(what) => match scale::run(&what) {
             Ok(()) => ExitCode::SUCCESS,
             Err(message) => {
@@ -207,28 +202,3 @@
         ExitCode::FAILURE
     }
 }
-
-fn sizes() -> ExitCode {
-    println!(
-        "{:>8} {:>22} {:>22} {:>22}",
-        "gateways", "keeper, of a core", "messages each a second", "bytes each a second"
-    );
-    for gateways in [30, 300, 1000, 3000] {
-        let whole = 20 * gateways as u64 * GRAIN;
-        let fleet = Fleet { gateways, places: gateways as u32, whole, demand: 2, ..Fleet::default() };
-        let mut world = World::new(fleet, Plan::new());
-        // By then somebody keeps it and gives.
-        world.run(Duration::from_secs(12));
-        let before = (world.seen().keepers_took, world.seen().messages, world.seen().bytes);
-        world.run(Duration::from_secs(22));
-        let seen = world.seen();
-        let each = |count: u64| count as f64 / gateways as f64 / 10.0;
-        println!(
-            "{gateways:>8} {:>22.4} {:>22.1} {:>22.0}",
-            (seen.keepers_took - before.0).as_secs_f64() / 10.0,
-            each(seen.messages - before.1),
-            each(seen.bytes - before.2)
-        );
-    }
-    ExitCode::SUCCESS
-}
--- a/crates/rig/src/simulated.rs
+++ b/crates/rig/src/simulated.rs
@@ -104,8 +104,6 @@
     pub unkept: u64,
     /// What each gateway sent, in statements.
     pub by_gateway: Vec<u64>,
-    /// Time that the keepers' gateways took on this machine, and the world's whole.
-    pub keepers_took: Duration,
 }
 
 struct Execution {
@@ -362,14 +360,9 @@
 
     fn step(&mut self, at: usize, step: impl FnOnce(&mut Node, Duration) -> Vec<Effect>) {
         let now = self.local(at);
-        let began = std::time::Instant::now();
         let Some(node) = &mut self.gateways[at].node else { return };
         let effects = step(node, now);
-        let keeps = node.keeps(now);
         let due = node.due(now);
-        if keeps {
-            self.seen.keepers_took += began.elapsed();
-        }
         for effect in effects {
             if let Effect::Say { to, envelope } = effect {
                 self.say(at, to, envelope);
