--- a/crates/rig/src/scale/control.rs
+++ b/crates/rig/src/scale/control.rs
@@ -163,7 +163,7 @@
     "gives_more_s",
     "messages_until_all",
 ];
-pub const CHANGES: [&str; 17] = [
+pub const CHANGES: [&str; 18] = [
     "change",
     "away",
     "text_bytes",
@@ -181,6 +181,7 @@
     "steward_of_a_core",
     "most_without_leave",
     "in_force_once_back_s",
+    "keepers",
 ];
 
 fn secs(span: Option<Duration>) -> Value {
@@ -334,13 +335,19 @@
     world.propose(next, wait);
     // What the change itself costs others: answers of leave that go no more into what the steward may send.
     let most_without = std::cell::Cell::new((0, world.now));
+    // One that can't send its bids loses its right in the middle of the change.
+    let keepers = std::cell::RefCell::new(std::collections::BTreeSet::new());
     let took = world.run_until(MOST_TIME, |world| {
         let (most, at) = most_without.get();
+        if let Some(keeper) = world.keeper() {
+            keepers.borrow_mut().insert(keeper);
+        }
         if world.now >= at {
             most_without.set((most.max(world.without_leave().0), world.now + S / 4));
         }
         world.in_force(digest) || world.refused(digest).is_some()
     });
+    let keepers = keepers.into_inner().len();
     let (refused, ended) = (world.refused(digest), world.now);
     let outcome = match (&refused, took) {
         (Some(why), _) => format!("withdrawn: {}", why.chars().take(90).collect::<String>()),
@@ -358,7 +365,9 @@
         Away::Nobody | Away::Restarts(_) => {}
     }
     let is_back = matches!(away, Away::One | Away::Region);
-    let back = is_back.then(|| world.run_until(MOST_TIME, |world| world.in_force(by))).flatten();
+    // With leave to decide by it: one that has only started is no other's concern, but its own.
+    let all_on = |world: &mut World| world.in_force(by) && world.without_leave().1 == 0;
+    let back = is_back.then(|| world.run_until(MOST_TIME, all_on)).flatten();
     vec![
         json!(format!("{change:?}")),
         json!(away.name()),
@@ -377,6 +386,7 @@
         json!((of_steward.machines + of_steward.codec).as_secs_f64() / (ended - began).as_secs_f64()),
         json!(most_without.get().0),
         secs(back),
+        json!(keepers),
     ]
 }
 
