Whoever proposes a policy asks five times a second, not after each answer

Cause: the loop of policy_cli::propose began a new question with each answer it got, and a question begins by being said at once, to all seats. The keeper answered thousands a second, met its bound of 1 MiB a second, and held back answers of leave and texts of the policy itself. Seen by hollow gateways on loopback: 1,800 to 8,800 datagrams a second to the tool, up to 9,698 held back at 1,900 gateways. Change: when it was last said outlasts an answer.

--- a/crates/gateway/src/policy_cli.rs
+++ b/crates/gateway/src/policy_cli.rs
@@ -199,23 +199,25 @@
     }
 
     fn stands(&self) -> Option<Stands> {
-        self.until(ANSWERS, &Say::Asks, |_, say| match say {
+        self.until(ANSWERS, &mut None, &Say::Asks, |_, say| match say {
             Say::Stands(stands) => Some(stands),
             _ => None,
         })
     }
 
-    /// Says it again and again until an answer is what is wanted.
+    /// Says it again and again until an answer is what is wanted. `said` is when it was last said: whoever goes on asking after
+    /// an answer keeps it, so that no answer brings the next question at once.
     fn until<T>(
         &self,
         within: Duration,
+        said: &mut Option<Instant>,
         ask: &Say,
         mut wanted: impl FnMut(SocketAddr, Say) -> Option<T>,
     ) -> Option<T> {
-        let (began, mut said) = (Instant::now(), None::<Instant>);
+        let began = Instant::now();
         while began.elapsed() < within {
             if said.is_none_or(|at| at.elapsed() >= AGAIN) {
-                said = Some(Instant::now());
+                *said = Some(Instant::now());
                 self.say_all(ask);
             }
             if let Some(found) = self.hear().and_then(|(from, say)| wanted(from, say)) {
@@ -229,7 +231,8 @@
         let mut bytes = Vec::new();
         loop {
             let at = bytes.len() as u32;
-            let (whole, piece) = self.until(ANSWERS, &Say::Get { digest, from: at }, |_, say| match say {
+            let get = Say::Get { digest, from: at };
+            let (whole, piece) = self.until(ANSWERS, &mut None, &get, |_, say| match say {
                 Say::Piece { digest: of, from, whole, bytes } if of == digest && from == at => {
                     Some((whole, bytes))
                 }
@@ -262,12 +265,12 @@
     let (digest, bytes) = (revision.digest(), revision.write());
     println!("proposed {} ({digest})", revision.number);
     let offer = Say::Offer { digest, wait_ms: wait.as_millis() as u64 };
-    let (mut begun, mut asks) = (false, offer.clone());
+    let (mut begun, mut asks, mut said) = (false, offer.clone(), None);
     // Longer than it may wait, by what its phases take.
     let within = wait + Duration::from_secs(60);
     let began = Instant::now();
     while began.elapsed() < within {
-        let ended = tool.until(AGAIN * 2, &asks, |from, say| match say {
+        let ended = tool.until(AGAIN * 2, &mut said, &asks, |from, say| match say {
             Say::Get { digest: of, from: at } if of == digest => {
                 let at = (at as usize).min(bytes.len());
                 let piece = bytes[at..(at + PIECE).min(bytes.len())].to_vec();
--- a/crates/rig/tests/scale_hollow.rs
+++ b/crates/rig/tests/scale_hollow.rs
@@ -1,7 +1,7 @@
 //! A small edition of `scale hollow`: what it counts and which states it comes to, with no times but the bounds of waiting.
 
 use bramblewharf_rig::scale::hollow::fleet::{seats_taken, Fleet, Plan};
-use bramblewharf_rig::scale::hollow::gateway::KINDS;
+use bramblewharf_rig::scale::hollow::gateway::{KINDS, TO_TOOL};
 use bramblewharf_rig::scale::hollow::{plans, Args};
 use std::path::Path;
 use std::process::Command;
@@ -66,11 +66,18 @@
     println!("{each:.1} datagrams a hollow gateway a lease");
     assert!((1.0..MOST_A_LEASE).contains(&each), "{each} datagrams a gateway a lease");
 
+    let told = |fleet: &Fleet| -> u64 {
+        fleet.shared.seen.iter().map(|seen| seen.sent[TO_TOOL].load(Relaxed)).sum()
+    };
+    let (before, began) = (told(&fleet), Instant::now());
     let wider = fleet.wider();
     let proposal = fleet.propose(&wider, Duration::from_secs(10)).unwrap();
     becomes(&fleet, "the second policy everywhere", |fleet| fleet.all_decide_by(2));
     let proposal = proposal.join().unwrap();
     assert_eq!(proposal.code, 0, "{}", proposal.said);
+    // Whoever proposes asks five times a second how it stands: answers to it, that come by thousands, keep leave from the others.
+    let (told, most) = (told(&fleet) - before, 60.0 + 40.0 * began.elapsed().as_secs_f64());
+    assert!((told as f64) < most, "{told} datagrams to the tool, {most} at the most");
 
     let old = fleet.keeper().unwrap();
     fleet.shared.seen[old].ended.store(true, Relaxed);
