Capacity: hollow gateways by 3,300 engines, and when ill engines are left by a fleet

Change: 300 gateways by 3,300 engines at rest and with an ill zone; one place in tests/cold.rs that builds a statement.

--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -24,6 +24,15 @@
     terms
 }
 
+fn statement(number: u64) -> NewStatement {
+    #[rustfmt::skip]
+    let said = NewStatement {
+        id: format!("s{number}").into(), workload: 0, customer: None, key: None, time_left: ms(4000),
+        est_work: None, est_mem_mb: None, table_group: None, kept: true,
+    };
+    said
+}
+
 struct Seen {
     /// Of all windows the fullest, against what the settings allow there, in statements of usual work.
     most: usize,
@@ -55,12 +64,8 @@
                 fleet[own] = begin(own as u32, rng.generate(), now);
             }
             number += 1;
-            let id: Id = format!("s{number}").into();
-            #[rustfmt::skip]
-            let said = NewStatement {
-                id: id.clone(), workload: 0, customer: None, key: None, time_left: ms(4000), est_work: None,
-                est_mem_mb: None, table_group: None, kept: true,
-            };
+            let said = statement(number);
+            let id = said.id.clone();
             let mut actions = fleet[own].event(now, Event::Statement(said));
             for execution in 0..3 {
                 let Some(at) = engine_of(&actions) else { break };
@@ -116,12 +121,8 @@
             let among = if rng.generate_range(0..4) > 0 { (count / 5).max(1) } else { count };
             let own = rng.generate_range(0..among) as usize;
             number += 1;
-            let id: Id = format!("s{number}").into();
-            #[rustfmt::skip]
-            let said = NewStatement {
-                id: id.clone(), workload: 0, customer: None, key: None, time_left: ms(4000), est_work: None,
-                est_mem_mb: None, table_group: None, kept: true,
-            };
+            let said = statement(number);
+            let id = said.id.clone();
             let mut actions = fleet[own].event(now, Event::Statement(said));
             for execution in 0..3 {
                 let Some(at) = engine_of(&actions) else { break };
