--- a/crates/rig/src/agreed.rs
+++ b/crates/rig/src/agreed.rs
@@ -9,8 +9,7 @@
 use bramblewharf_policy::{Check, Digest, Kept, Limits, Node as Policy, Revision, Rules, Say};
 use nanorand::{Rng, WyRand};
 use rustix::time::{clock_gettime, ClockId};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -105,25 +104,6 @@
     Offer(usize),
 }
 
-struct Queued(Duration, u64, Event);
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Queued) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Queued {}
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Queued) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Queued {
-    fn cmp(&self, other: &Queued) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// A change that is proposed: offered again until it is in force or refused.
 struct Offered {
     text: Revision,
@@ -138,7 +118,7 @@
     check: Check,
     key: Key,
     rng: WyRand,
-    queue: BinaryHeap<Reverse<Queued>>,
+    queue: BTreeMap<(Duration, u64), Event>,
     order: u64,
     gateways: Vec<Gateway>,
     /// The region that hears no other.
@@ -223,7 +203,7 @@
             check: check(),
             key: Key::read(b"a key of sixteen bytes").expect("long enough"),
             rng: WyRand::new_seed(of.seed),
-            queue: BinaryHeap::new(),
+            queue: BTreeMap::new(),
             order: 0,
             gateways: (0..of.gateways).map(|_| gateway()).collect(),
             cut: None,
@@ -245,13 +225,13 @@
 
     fn queue(&mut self, at: Duration, event: Event) {
         self.order += 1;
-        self.queue.push(Reverse(Queued(at.max(self.now), self.order, event)));
+        self.queue.insert((at.max(self.now), self.order), event);
     }
 
     pub fn run(&mut self, lasts: Duration) {
         let until = self.now + lasts;
-        while self.queue.peek().is_some_and(|next| next.0 .0 <= until) {
-            let Some(Reverse(Queued(at, _, event))) = self.queue.pop() else { break };
+        while let Some(next) = self.queue.first_entry().filter(|next| next.key().0 <= until) {
+            let ((at, _), event) = next.remove_entry();
             self.now = at;
             self.happen(event);
         }
--- a/crates/turns/tests/subsets.rs
+++ b/crates/turns/tests/subsets.rs
@@ -29,8 +29,8 @@
     let mut owners: BTreeMap<Arc<str>, u32> = engines.iter().map(|(id, ..)| (id.clone(), 0)).collect();
     for own in 0..gateways {
         let reach = reach(terms, own, gateways, engines);
-        for (id, stratum, _) in engines.iter().filter(|(id, stratum, _)| reach.part(id, *stratum).own) {
-            *owners.get_mut(id).unwrap() += u32::from(*stratum < u64::MAX);
+        for (id, ..) in engines.iter().filter(|(id, stratum, _)| reach.part(id, *stratum).own) {
+            *owners.get_mut(id).unwrap() += 1;
         }
     }
     owners
@@ -263,6 +263,19 @@
     assert_eq!(ids(&reach(Terms::default(), 5, 1900, &engines)), before);
 }
 
+/// None is in service: all are looked at, as any of them may be the first that is again.
+#[test]
+fn where_none_is_in_service_all_are_within_reach() {
+    let mut engines = engines(3300, 2);
+    engines.iter_mut().for_each(|engine| engine.2 = false);
+    let mut reach = reach(Terms::default(), 5, 1900, &engines);
+    assert_eq!(reach.width(), 3300);
+    assert!(!reach.look(|_| false));
+    let mut none = self::reach(Terms::default(), 5, 1900, &[]);
+    assert_eq!((none.width(), none.most_sharers()), (0, 1900));
+    assert!(!none.look(|_| true));
+}
+
 /// A number that is not among those configured has no turn of anybody's.
 #[test]
 fn a_stranger_takes_no_turn_of_others() {
