Logs: each statement and attempt by id, reasons of refusals and closes, list changes

Change: BRAMBLEWHARF_LOG=debug follows statements, attempts (decided, let out or held back and by which rule, ended), engines of the list and answers of the name service that are passed over; trace.rs writes them and decides nothing. The figures count refusals by reason (Chooser::refused) and closes by reason (closes.rs). At the ordinary level the lines are not put together.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -3,7 +3,7 @@
 use crate::{config, operators, policy_cli, view, Gateway, Ports};
 use clap::{Parser, Subcommand};
 use signal_hook::consts::SIGHUP;
-use slog::{Drain as _, Logger};
+use slog::{Drain as _, Level, LevelFilter, Logger};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -80,11 +80,24 @@
     }
 }
 
+/// The level from which on lines are logged, as slog names it; `debug` follows each statement through the gateway.
+const LOG_LEVEL: &str = "BRAMBLEWHARF_LOG";
+/// Lines that wait to be written: ordinary ones are few, those of single statements are not.
+const LOG_QUEUE: usize = 1024;
+const LOG_QUEUE_DEBUG: usize = 64 * 1024;
+
 /// Messages go through a bounded queue to a thread of their own; what does not fit is dropped and counted.
-fn logger() -> Logger {
+fn logger() -> Result<Logger, String> {
+    let level = match std::env::var(LOG_LEVEL).ok().filter(|level| !level.is_empty()) {
+        None => Level::Info,
+        Some(level) => {
+            level.parse().map_err(|()| format!("{LOG_LEVEL}: {level} is not a level of the log"))?
+        }
+    };
+    let queue = if level.is_at_least(Level::Debug) { LOG_QUEUE_DEBUG } else { LOG_QUEUE };
     let lines = slog_term::FullFormat::new(slog_term::PlainSyncDecorator::new(std::io::stderr()));
-    let drain = slog_async::Async::new(lines.build().fuse()).chan_size(1024).build().fuse();
-    Logger::root(drain, slog::o!())
+    let drain = slog_async::Async::new(lines.build().fuse()).chan_size(queue).build();
+    Ok(Logger::root(LevelFilter::new(drain, level).fuse(), slog::o!()))
 }
 
 /// Serves until it is told to end.
@@ -93,7 +106,7 @@
     let hung_up = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGHUP, hung_up.clone()).map_err(|e| format!("signals: {e}"))?;
     let start = config::load(path.clone(), settings.as_deref())?;
-    let log = logger();
+    let log = logger()?;
     actix_rt::System::new().block_on(async {
         use tokio::signal::unix::{signal, SignalKind};
         let heard = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection that is closed once it has stood idle for too long, whoever holds it: guards against silent
 //! machines that would hold descriptors, and against pooled connections that the other end closes first.
 
+use crate::closes::{CloseReason, Closes};
 use crate::exchange::Exchange;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_rt::time::{sleep, timeout};
@@ -50,6 +51,7 @@
     /// More waits to be read than may be while a call is open: its end can't be read either.
     held_back: Cell<bool>,
     linger: Rc<Linger>,
+    closes: Rc<Closes>,
 }
 
 /// How far the head of a call has come.
@@ -261,17 +263,19 @@
         self.idle.get().map(|since| since.elapsed())
     }
 
-    /// How long it has been of no use, if that is too long.
-    fn is_overdue(&self, head_within: Duration, idle: Duration) -> bool {
-        let Some(rested) = self.idle_for() else { return false };
+    /// Why it is to be closed, if it has been of no use for too long.
+    fn is_overdue(&self, head_within: Duration, idle: Duration) -> Option<CloseReason> {
+        let rested = self.idle_for()?;
         if self.condemned.get() {
-            return rested > LINGER;
+            return (rested > LINGER).then_some(CloseReason::Refused);
         }
         // Who has asked nothing yet is owed no more patience than who asks slowly.
         match self.begun.get().filter(|_| self.calls.get() > 0) {
-            Some(begun) => begun.elapsed() > head_within,
-            None if self.calls.get() == 0 && self.exchange.is_none() => rested > head_within,
-            None => rested > idle,
+            Some(begun) => (begun.elapsed() > head_within).then_some(CloseReason::SlowHead),
+            None if self.calls.get() == 0 && self.exchange.is_none() => {
+                (rested > head_within).then_some(CloseReason::SlowHead)
+            }
+            None => (rested > idle).then_some(CloseReason::Idle),
         }
     }
 
@@ -287,8 +291,9 @@
     }
 
     /// Nothing more is read that could be carried out. A client's may have sent something in this very moment.
-    pub fn close(&self) {
+    pub fn close(&self, reason: CloseReason) {
         if let Some(stream) = self.stream.borrow_mut().take() {
+            self.closes.count(reason);
             match &self.exchange {
                 None if !self.ended.get() && !self.shut.get() => self.linger.take(stream),
                 // What was sent and has no answer is wanted no longer: after an ordinary close the system would go on sending
@@ -442,7 +447,7 @@
 /// Whoever else still knows of the connection, it is closed with this.
 impl Drop for Stream {
     fn drop(&mut self) {
-        self.0.close();
+        self.0.close(CloseReason::Done);
     }
 }
 
@@ -459,6 +464,7 @@
 pub struct Connections {
     connections: RefCell<Vec<Weak<Connection>>>,
     pub linger: Rc<Linger>,
+    pub closes: Rc<Closes>,
     /// Of clients: how long the head of a call may take to come.
     head_within: Duration,
     idle: Duration,
@@ -470,12 +476,26 @@
     /// `most`: those that are let go at once.
     pub fn of_clients(most: usize, head_within: Duration, idle: Duration) -> Connections {
         let linger = Linger::new(most);
-        Connections { connections: RefCell::default(), linger, head_within, idle, answer: None }
+        Connections {
+            connections: RefCell::default(),
+            linger,
+            closes: Rc::default(),
+            head_within,
+            idle,
+            answer: None,
+        }
     }
 
     pub fn of_engines(answer: usize, idle: Duration) -> Connections {
         let linger = Linger::new(0);
-        Connections { connections: RefCell::default(), linger, head_within: idle, idle, answer: Some(answer) }
+        Connections {
+            connections: RefCell::default(),
+            linger,
+            closes: Rc::default(),
+            head_within: idle,
+            idle,
+            answer: Some(answer),
+        }
     }
 
     pub fn link(&self, stream: TcpStream) -> Stream {
@@ -501,6 +521,7 @@
             holds: Cell::new(false),
             held_back: Cell::new(false),
             linger: self.linger.clone(),
+            closes: self.closes.clone(),
         });
         self.connections.borrow_mut().push(Rc::downgrade(&connection));
         Stream(connection)
@@ -509,8 +530,10 @@
     /// Closes what has been idle for too long; to be called now and then. What has just come is read first.
     pub fn sweep(&self) {
         for connection in self.live() {
-            if connection.is_overdue(self.head_within, self.idle) && !connection.has_next() {
-                connection.close();
+            if let Some(reason) = connection.is_overdue(self.head_within, self.idle) {
+                if !connection.has_next() {
+                    connection.close(reason);
+                }
             }
         }
         self.connections.borrow_mut().retain(|connection| connection.strong_count() > 0);
@@ -527,14 +550,14 @@
         });
         let old = old.filter(|(_, connection)| !connection.has_next());
         match old.max_by_key(|(idle, connection)| (rank(connection), *idle)) {
-            Some((_, connection)) => connection.close(),
+            Some((_, connection)) => connection.close(CloseReason::AtBound),
             None => return false,
         }
         true
     }
 
     pub fn close_all(&self) {
-        self.live().iter().for_each(|connection| connection.close());
+        self.live().iter().for_each(|connection| connection.close(CloseReason::ShutDown));
     }
 
     /// Lets all go at once: no new ones come that would need their descriptors.
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -62,7 +62,7 @@
     let mut bytes = [0; 4];
     there.read_exact(&mut bytes).await.unwrap();
     assert!(&bytes == b"call" && quiet.0.sent() && !quiet.0.is_free());
-    quiet.0.close();
+    quiet.0.close(CloseReason::Done);
     assert!(quiet.read(&mut bytes).await.is_err());
     for ended in [true, false] {
         let (mut there, mut link) = pair(&connections).await;
@@ -91,7 +91,7 @@
     while is_quiet(link.0.stream.borrow().as_ref().unwrap()) {
         tokio::task::yield_now().await;
     }
-    link.0.close();
+    link.0.close(CloseReason::Done);
     assert_eq!(link.read(&mut [0; 8]).await.unwrap(), 0);
     there.write_all(b", and its rest").await.unwrap();
     let mut read = Vec::new();
@@ -105,7 +105,7 @@
     let mut others = Vec::new();
     for _ in 0..9 {
         let (there, link) = pair(&connections).await;
-        link.0.close();
+        link.0.close(CloseReason::Done);
         others.push(there);
     }
     assert_eq!(connections.linger.count(), 4);
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -1,6 +1,7 @@
 //! Executions on engines: HTTP by awc. Each one's ending becomes an outcome, with no more proof than the network
 //! gives: only a connection refused or never established, or the protocol's own marks, prove that nothing ran.
 
+use crate::closes::{CloseReason, Closes};
 use crate::config::Bounds;
 use crate::connection::{is_quiet, Connection, Connections, Stream};
 use crate::reducer::{Ending, Parcel, Text};
@@ -100,7 +101,7 @@
     /// The connection in use is not used again.
     fn leave(&mut self) {
         if let Some(connection) = self.connection.take() {
-            connection.close();
+            connection.close(CloseReason::Irregular);
         }
     }
 }
@@ -184,6 +185,11 @@
         self.connections.count() + self.resting.borrow().len()
     }
 
+    /// Why connections to engines were closed.
+    pub fn closes(&self) -> &Closes {
+        &self.connections.closes
+    }
+
     pub fn asked_again(&self) -> u64 {
         self.again.get()
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! The clients' side: HTTP by actix-http. It turns calls into the reducer's inputs and answers into calls'
 //! answers, and decides nothing.
 
+use crate::closes::CloseReason;
 use crate::config::Bounds;
 use crate::connection::{Connection, Connections, Stream};
 use crate::intake::{self, Came};
@@ -178,7 +179,7 @@
         if let Some(connection) = connection.as_ref().filter(|connection| connection.is_condemned()) {
             // It came behind a call that was refused: it may be a part of that, and is not answered.
             sleep(BEHIND).await;
-            connection.close();
+            connection.close(CloseReason::Refused);
             return refusal(StatusCode::BAD_REQUEST, "behind a refused call");
         }
         let begun = connection
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! read a configuration with `config`, then `Gateway::start` and `Gateway::shut_down`.
 
 pub mod cli;
+mod closes;
 pub mod config;
 mod connection;
 mod engines;
@@ -19,6 +20,7 @@
 mod runtime;
 mod sessions;
 pub mod tables;
+mod trace;
 mod upload;
 mod view;
 
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -232,6 +232,13 @@
             let list = word.as_ref().and_then(|answer| read_answer(answer, &self.name));
             if list.as_ref().is_none_or(|known| known.no < self.no) {
                 self.passed_over.set(self.passed_over.get() + 1);
+                let why = match (&word, &list) {
+                    (None, _) => "no answer to a question of ours",
+                    (Some(_), None) => "a failure, or no whole list",
+                    (Some(_), Some(_)) => "an earlier number",
+                };
+                slog::debug!(self.log, "answer of the name service passed over"; "why" => why, "no" => self.no,
+                    "its_no" => list.as_ref().map(|known| known.no));
             }
             let newest = word.is_some_and(|answer| answer.metadata.id == question.metadata.id);
             match list {
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -3,7 +3,7 @@
 
 use crate::invariants::{Broken, Invariant};
 use crate::policy::{Names, Permitted};
-use bramblewharf::choice::{Chooser, Rule};
+use bramblewharf::choice::{Chooser, Refusal, Rule};
 use bramblewharf::interface::*;
 use bramblewharf_bodies::Body;
 use bramblewharf_budgets::{Claim, Permits};
@@ -263,6 +263,10 @@
     /// Emptied whenever it is logged.
     ill: BTreeMap<Id, u64>,
     pub counts: Counts,
+    /// Statements given up by the decisions, by why.
+    pub refusals: BTreeMap<Refusal, u64>,
+    /// Those of the last step.
+    refused: Vec<(Id, Refusal)>,
     pub broken: Broken,
 }
 
@@ -311,6 +315,8 @@
             effects: Vec::new(),
             ill: BTreeMap::new(),
             counts: Counts::default(),
+            refusals: BTreeMap::new(),
+            refused: Vec::new(),
             broken: Broken::default(),
         };
         actions.into_iter().for_each(|action| reducer.act(now, action));
@@ -320,6 +326,7 @@
     }
 
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
+        self.refused.clear();
         // First of all: whatever comes is decided by the leave as it is now.
         self.look_at_fleet(now);
         match input {
@@ -370,6 +377,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// The statements that the last step had given up, and why.
+    pub fn refused(&self) -> &[(Id, Refusal)] {
+        &self.refused
+    }
+
     /// Engines that the decisions have looked at since the start.
     pub fn looked(&self) -> u64 {
         self.chooser.looked()
@@ -461,10 +473,10 @@
         self.fleet_due = policy.into_iter().chain([node.due(now)]).min();
     }
 
-    /// Whether an execution may still go out, as its first byte is about to: a client may have left since it was decided, its
-    /// engine begun to drain, the time for a repeat run out.
-    pub fn may_go_out(&self, now: Duration, id: &Id, execution: usize) -> bool {
-        self.chooser.lapsed(now, id, execution).is_none()
+    /// The rule, if any, by which an execution may no longer go out, as its first byte is about to: a client may have left since
+    /// it was decided, its engine begun to drain, the time for a repeat run out.
+    pub fn lapsed(&self, now: Duration, id: &Id, execution: usize) -> Option<Rule> {
+        self.chooser.lapsed(now, id, execution)
     }
 
     /// Whether a repeat that is on its way would still be known for one when it is whole.
@@ -502,9 +514,12 @@
     /// Hands the decisions all news, and what follows from what they do with it.
     fn settle(&mut self, now: Duration) {
         while let Some(event) = self.news.pop_front() {
-            for action in self.chooser.event(now, event) {
-                self.act(now, action);
+            let actions = self.chooser.event(now, event);
+            for (id, refusal) in self.chooser.refused() {
+                *self.refusals.entry(*refusal).or_default() += 1;
+                self.refused.push((id.clone(), *refusal));
             }
+            actions.into_iter().for_each(|action| self.act(now, action));
         }
     }
 
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -1,6 +1,7 @@
 //! Carries out what the reducer asks for, on one thread: the gateway as it is started, serves and shuts down.
 
 use crate::config::{self, AtStart, Bounds, Start};
+use crate::connection::Connections;
 use crate::engines::{Engines, Job, May};
 use crate::fleet::{machine_time, Link};
 use crate::front::Front;
@@ -9,10 +10,11 @@
 use crate::peers::Peers;
 use crate::policy;
 use crate::reducer::{Answer, Effect, Input, Reducer, Text};
+use crate::trace::{Attempt, Trace};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{sleep, sleep_until, timeout as timeout_after, Instant as TimerInstant};
-use bramblewharf::interface::{Effect as Repeat, Id, ListKind, WorkloadTerms};
+use bramblewharf::interface::{Effect as Repeat, EngineState, Id, ListKind, WorkloadTerms};
 use bramblewharf_bodies::ledger::Counts as BodyCounts;
 use bramblewharf_bodies::spool::{Disk, Folder, Threads};
 use bramblewharf_bodies::Keeper;
@@ -117,6 +119,7 @@
     pub stay_away: Option<Duration>,
     pub bodies: Rc<Keeper>,
     pub log: Logger,
+    trace: Trace,
     engines: Engines,
     peers: Option<Peers>,
     fleet: Option<Link>,
@@ -147,6 +150,7 @@
         if self.closed.get() {
             return;
         }
+        self.trace.input(&input);
         let (effects, sooner) = {
             let mut reducer = self.reducer.borrow_mut();
             let before = reducer.due();
@@ -160,6 +164,7 @@
                 }
                 Vec::new()
             });
+            self.trace.refused(reducer.refused());
             (effects, reducer.due() != before)
         };
         if sooner {
@@ -200,12 +205,17 @@
     fn carry_out(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Answer { caller, answer } => {
-                if let Some(waits) = self.answers.borrow_mut().remove(&caller) {
+                let waits = self.answers.borrow_mut().remove(&caller);
+                self.trace.answered(caller, &answer, waits.is_some());
+                if let Some(waits) = waits {
                     let _ = waits.send(answer);
                 }
             }
             Effect::Start { id, execution, engine, address, parcel, mem_mb, timeout, not_after } => {
                 let core = self.clone();
+                let list_age = self.list_heard.get().elapsed();
+                let (of, to) = (&id, &engine);
+                self.trace.decided(&Attempt { id: of, execution, engine: to, address, timeout, list_age });
                 let stopping = self.stopping.borrow_mut().remove(&(id.clone(), engine));
                 let key = (id.clone(), execution);
                 let task = actix_rt::spawn(async move {
@@ -218,7 +228,9 @@
                     let may = || {
                         let now = core.clock.now();
                         let due = not_after.is_none_or(|end| now <= end);
-                        due && core.reducer.borrow().may_go_out(now, &id, execution)
+                        let lapsed = core.reducer.borrow().lapsed(now, &id, execution);
+                        core.trace.goes_out(&id, execution, lapsed, core.list_heard.get().elapsed());
+                        due && lapsed.is_none()
                     };
                     let arrives = || core.reducer.borrow().may_arrive(core.clock.now(), &id, execution);
                     let may = May { begin: &may, arrive: &arrives };
@@ -234,6 +246,7 @@
                 self.running.borrow_mut().insert(key, task);
             }
             Effect::Stop { id, execution, engine, address } => {
+                self.trace.stops(&id, execution, &engine);
                 if let Some(task) = self.running.borrow_mut().remove(&(id.clone(), execution)) {
                     task.abort();
                 }
@@ -306,6 +319,7 @@
     }
 
     async fn follow_list(self: Rc<Self>, mut asker: Asker) {
+        let mut before: BTreeMap<Id, EngineState> = BTreeMap::new();
         loop {
             let word = tokio::select! {
                 biased;
@@ -328,16 +342,34 @@
                     continue;
                 }
             };
-            slog::info!(self.log, "list of engines"; "no" => known.no, "engines" => known.list.len());
+            let entries = known.list.iter().map(|listed| (listed.entry.id.clone(), listed.entry.state));
+            let now: BTreeMap<Id, EngineState> = entries.collect();
+            let draining = now.values().filter(|state| **state == EngineState::Draining).count();
+            let removed = before.keys().filter(|id| !now.contains_key(*id)).count();
+            slog::info!(self.log, "list of engines"; "no" => known.no, "engines" => now.len(),
+                "draining" => draining, "removed" => removed);
+            for listed in known.list.iter().filter(|l| before.get(&l.entry.id) != Some(&l.entry.state)) {
+                self.trace.listed(
+                    &listed.entry.id,
+                    &format!("{:?}", listed.entry.state),
+                    Some(listed.address),
+                );
+            }
+            before
+                .keys()
+                .filter(|id| !now.contains_key(*id))
+                .for_each(|id| self.trace.listed(id, "Gone", None));
+            before = now;
             self.input(Input::Engines(ListKind::All, known.list));
         }
     }
 
-    fn log_figures(&self) {
+    fn log_figures(&self, clients: &Connections) {
         let mut reducer = self.reducer.borrow_mut();
         let ill = reducer.take_ill();
         slog::info!(self.log, "figures"; "counts" => ?reducer.counts, "held" => reducer.held(),
             "open" => reducer.open(), "ill" => ?ill, "bad_calls" => ?self.bad_calls.borrow(),
+            "refusals" => ?reducer.refusals, "closed" => ?clients.closes.counts(), "closed_to_engines" => ?self.engines.closes().counts(),
             "asked_again" => self.engines.asked_again(), "names_passed_over" => self.names_passed_over.get(),
             "list_age_ms" => self.list_heard.get().elapsed().as_millis() as u64,
             "peers_passed_over" => self.peers.as_ref().map_or(0, Peers::passed_over),
@@ -440,6 +472,7 @@
             slowest,
             stay_away,
             bodies,
+            trace: Trace::new(&log),
             log,
             engines,
             peers,
@@ -495,7 +528,7 @@
                 engines.write_status();
                 if logged.elapsed() >= FIGURES {
                     logged = Instant::now();
-                    engines.log_figures();
+                    engines.log_figures(&swept.connections);
                 }
             }
         }));
@@ -576,7 +609,7 @@
         while self.front.connections.linger.count() > 0 && parted.elapsed() < READ_OUT {
             sleep(LOOK / 4).await;
         }
-        self.core.log_figures();
+        self.core.log_figures(&self.front.connections);
         slog::info!(self.core.log, "closed");
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use bramblewharf_budgets::Claim;
 use bramblewharf_turns::{mix, signals, subsets, Draw, Reach, Signals, Turn};
 use nanorand::{Rng, WyRand};
-use std::cell::LazyCell;
+use std::cell::{Cell, LazyCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Deref;
 use std::time::Duration;
@@ -96,10 +96,26 @@
 /// The seven rules, as reasons against a send; that a text not kept goes out once; the fleet's budgets; that
 /// nothing begins for an absent client, or that can't end before this gateway closes.
 #[rustfmt::skip]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
     OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget, Text, Leave, Absent, Closing,
 }
+/// Why a statement got no further execution and was given up, for whoever reads the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// No engine is on the list.
+    NoEngine,
+    /// No engine's residual covers the weight, or those that could take it are set aside.
+    NoneFits,
+    /// An engine would fit, and this rule forbids it.
+    Forbidden(Rule),
+    /// It has had all the executions that its workload may have.
+    NoExecutionLeft,
+    /// Its time is over.
+    OutOfTime,
+    /// The stream of its answer broke off.
+    Broken,
+}
 pub struct Chooser {
     site: Site,
     rng: WyRand,
@@ -135,6 +151,9 @@
     list_failed: bool,
     room: Room,
     actions: Vec<Action>,
+    /// Why the statement at hand has no engine, and the statements given up by the event at hand.
+    refusal: Refusal,
+    refused: Vec<(Id, Refusal)>,
 }
 impl Chooser {
     pub fn start(site: Site, seed: u64, now: Duration) -> (Chooser, Vec<Action>) {
@@ -154,13 +173,19 @@
             unjudged: false, crumbs, usual_told: Mean(0.0, false), told_at: now, usual_pace: Mean(1.0, false),
             reach: Reach::start(subsets::Terms::default(), draw), signals: Signals::start(terms, seed),
             list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
-            room: Room::default(), began: now, closes: None, site,
+            room: Room::default(), began: now, closes: None, refusal: Refusal::NoEngine, refused: Vec::new(),
+            site,
         };
         chooser.beat(now);
         let first = std::mem::take(&mut chooser.actions);
         (chooser, first)
     }
+    /// The statements that the last event had given up, and why.
+    pub fn refused(&self) -> &[(Id, Refusal)] {
+        &self.refused
+    }
     pub fn event(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        self.refused.clear();
         match event {
             Event::Engines(kind, entries) => self.list(now, kind, entries),
             Event::Statement(said) => self.take(now, said),
@@ -207,6 +232,11 @@
             let Some(stmt) = self.stmts.get_mut(id) else { return };
             let Some(row) = LIFE.iter().find(|r| r.0 == stmt.state && r.1 == input) else { return };
             stmt.state = row.2;
+            match input {
+                Input::OutOfTime => self.refusal = Refusal::OutOfTime,
+                Input::Unfinished => self.refusal = Refusal::Broken,
+                _ => {}
+            }
             match row.3 {
                 Step::Rest => {}
                 Step::Choose => next = Some(self.choose(now, id)),
@@ -253,17 +283,26 @@
         }
         let reach = &self.reach;
         let first = || reach.now().nth(self.site.gateway as usize % reach.width().max(1));
-        let Some(start) = self.last.as_ref().or_else(first) else { return Input::NoRoom };
+        let Some(start) = self.last.as_ref().or_else(first) else {
+            self.refusal = Refusal::NoEngine;
+            return Input::NoRoom;
+        };
         let ran = stmt.executions.iter().filter(|x| x.fate != Fate::NeverRan).count();
         if ran >= self.rows[stmt.said.workload].executions {
+            self.refusal = Refusal::NoExecutionLeft;
             return Input::NoRoom;
         }
+        let forbidden = Cell::new(None);
         let common = LazyCell::new(|| self.trouble_is_common(now));
-        let may =
-            |to: &Id, e: &Engine| self.fits(now, stmt, e, &common) && self.forbids(now, id, to).is_none();
+        let may = |to: &Id, e: &Engine| {
+            let rule = self.fits(now, stmt, e, &common).then(|| self.forbids(now, id, to));
+            forbidden.set(rule.flatten().or(forbidden.get()));
+            rule == Some(None)
+        };
         let walk = reach.after(start).filter_map(|to| self.engines.get_key_value(to));
         let fit = walk.filter(|(to, e)| may(to, e)).min_by_key(|(_, e)| self.objections(now, stmt, e));
         let fit = fit.map(|(to, _)| to.clone());
+        self.refusal = forbidden.get().map_or(Refusal::NoneFits, Refusal::Forbidden);
         fit.map_or(Input::NoRoom, |engine| self.send(now, id, engine))
     }
     /// The residual covers the weight; one heavier than a whole capacity goes where nothing of ours runs.
@@ -640,6 +679,7 @@
         let own = id.clone();
         let answer = if harmless { Action::Reject { id: own, retry_in } } else { Action::Abort { id: own } };
         self.actions.push(answer);
+        self.refused.push((id.clone(), self.refusal));
         self.close(now, id);
     }
     /// The statement is over: what still runs for it is called off.
