--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -7,6 +7,7 @@
 use bramblewharf_rig::plan::{draw, kinds, smaller, Plan};
 use bramblewharf_rig::scale::{self, Scale};
 use bramblewharf_rig::simulated::{play, Fleet};
+use bramblewharf_rig::soak;
 use bramblewharf_rig::world;
 use clap::{Parser, Subcommand, ValueEnum};
 use rayon::prelude::*;
@@ -33,7 +34,7 @@
         #[arg(long)]
         config: PathBuf,
         #[arg(long)]
-        settings: PathBuf,
+        settings: Option<PathBuf>,
         /// Parts in a thousand that its clock is fast.
         #[arg(long, default_value_t = 0, allow_hyphen_values = true)]
         clock_fast: i64,
@@ -63,6 +64,25 @@
         #[arg(long, default_value_t = 12)]
         seconds: u64,
     },
+    /// Processes of the program under random faults that overlap, a run a seed; prints what did not hold.
+    Soak {
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        #[arg(long, default_value_t = 50)]
+        seeds: u64,
+        #[arg(long, default_value_t = 24)]
+        gateways: usize,
+        #[arg(long, default_value_t = 6)]
+        engines: usize,
+        /// Clients of each gateway.
+        #[arg(long, default_value_t = 4)]
+        clients: usize,
+        /// Faults a run, within so many seconds.
+        #[arg(long, default_value_t = 24)]
+        faults: usize,
+        #[arg(long, default_value_t = 8)]
+        seconds: u64,
+    },
     /// Fleets at the operators' size.
     #[command(subcommand)]
     Scale(Scale),
@@ -110,6 +130,11 @@
         Command::Campaign { from, plans, gateways, seats, faults, seconds } => {
             against_processes(from, plans, gateways, seats, faults, Duration::from_secs(seconds))
         }
+        Command::Soak { from, seeds, gateways, engines, clients, faults, seconds } => {
+            let (every, span) = (Duration::from_millis(120), Duration::from_secs(seconds));
+            let size = soak::Size { gateways, engines, clients_each: clients, every, faults, span };
+            soak_seeds(from, seeds, size)
+        }
         Command::Scale(what) => match scale::run(&what) {
             Ok(()) => ExitCode::SUCCESS,
             Err(message) => {
@@ -123,7 +148,34 @@
     }
 }
 
-fn serve(config: PathBuf, settings: PathBuf, fast: i64, wrong: Option<Mistake>) -> ExitCode {
+fn soak_seeds(from: u64, seeds: u64, size: soak::Size) -> ExitCode {
+    let program = std::env::current_exe().expect("the path of this program");
+    let mut broken = 0;
+    for seed in from..from + seeds {
+        match soak::run(seed, size, &program) {
+            Ok(report) => {
+                println!(
+                    "seed {seed}: {} requests, {} served, {} refused, {} attempts, machine late by {:?} at most, broken: {:?}",
+                    report.requests, report.served, report.refused, report.attempts, report.worst_lateness, report.broken()
+                );
+                report.violations.iter().take(12).for_each(|violation| println!("  {violation}"));
+                broken += usize::from(!report.violations.is_empty());
+            }
+            Err(error) => {
+                println!("seed {seed}: not run: {error}");
+                broken += 1;
+            }
+        }
+    }
+    println!("{seeds} seeds, {broken} with a violation or not run");
+    if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn serve(config: PathBuf, settings: Option<PathBuf>, fast: i64, wrong: Option<Mistake>) -> ExitCode {
     let start = machine_time();
     let ticks = move || {
         let passed = machine_time() - start;
@@ -139,7 +191,7 @@
     });
     let ticks = (fast != 0).then(|| Rc::new(ticks) as _);
     let ports = Ports { ticks, wrong, wrong_policy, ..Ports::default() };
-    match cli::serve(Some(config), Some(settings), ports) {
+    match cli::serve(Some(config), settings, ports) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("bramblewharf-rig: {message}");
