The list of engines is acted on by a lease, renewed by each answer of the name service

Cause, class: a list that may no longer be true was acted on without bound. Seen on processes (tests of stale_list.rs): a silence of the name service over a drain; a pause of the process over a drain, after which statements went out before the answer was read; a service that counts anew, not believed for 200 answers; and, added now, a path that dies for one socket, found only after eight unanswered questions (1.2 s). Lines at fault: choice.rs list_is_known (no bound where the list is not 'on request'), names.rs FRESH_SOCKET, GONE_BACK and news().

Change: src/choice/lease.rs. From the first word of the asker on, sends need (Rule::List, in the gate and again before the first byte) a confirmation by a question asked within 1.5 s and half the grace, and a look at the name service's sockets within 220 ms; statements that come before that look wait for it. An engine has to be up by a list of an earlier number too while such a one was heard last. The asker repeats a question after 40, 80, 120 ms from a fresh socket, hears on all of late, reads all that waits before it tells anything, and tells each confirmation. A list that a fault in the decisions kept out is asked for anew. GONE_BACK is 40 answers (6 s) instead of 200.

--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -1,19 +1,24 @@
 //! The list of engines: the events told at the start, and DNS over UDP from then on.
 
-use crate::reducer::Listed;
-use bramblewharf::interface::{EngineEntry, EngineState, Id};
-use hickory_proto::op::{Message, MessageType, Query, ResponseCode};
-use hickory_proto::rr::{Name, RData, RecordType};
+mod answer;
+mod known;
+mod sockets;
+
+pub use answer::read_answer;
+pub use known::{known, Known};
+
+use futures_util::FutureExt as _;
+use hickory_proto::op::{Message, MessageType, Query};
+use hickory_proto::rr::{Name, RecordType};
 use nanorand::{Rng, WyRand};
-use serde_json::Value;
 use slog::Logger;
+use sockets::Sockets;
 use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
-use std::net::{IpAddr, SocketAddr};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::time::{timeout_at, Instant};
 
 const SERVICE: &str = "_rpc._tcp.mesh.local.";
@@ -22,73 +27,26 @@
 const AGAIN: Duration = Duration::from_millis(40);
 const LONGEST: usize = 8_000;
 /// Questions that an answer may yet come for: a late one is as good as any other of its number.
-const AWAITED: usize = 20;
-/// Questions in a row without a usable answer after which they are asked from a new socket: a path may have fallen silent for
-/// one, and stay so. Answers to the one before are still heard until the next.
-const FRESH_SOCKET: u32 = 8;
-/// Answers in a row with an earlier number (half a minute of them) after which the name service itself is taken to have
-/// gone back.
-const GONE_BACK: u32 = 200;
+const AWAITED: usize = 32;
+/// Answers in a row with an earlier number (some six seconds of them) after which the name service itself is taken to have
+/// gone back. Until then the list counts as unconfirmed.
+const GONE_BACK: u32 = 40;
 /// For how long nothing usable may come before that is told: quiet is no good news.
 const SILENT: Duration = Duration::from_millis(1200);
+/// A round that ends later than this after its time shows that the process stood still: an answer may wait unread.
+const STOOD_STILL: Duration = Duration::from_millis(30);
 
-/// The list as it stands after an event with this number.
-#[derive(Clone, Debug)]
-pub struct Known {
-    pub no: u64,
-    pub list: Vec<Listed>,
-}
-
-/// Reads `known` of the configuration: the first event holds the whole list, later ones what has changed.
-pub fn known(value: &Value) -> Result<Known, String> {
-    let mut engines: BTreeMap<Id, Listed> = BTreeMap::new();
-    let items = value.get("items").and_then(Value::as_array).ok_or("known.items: is not a list")?;
-    for (at, item) in items.iter().enumerate() {
-        let path = format!("known.items[{at}].roster");
-        let roster = item.get("roster").ok_or_else(|| format!("{path}: is missing"))?;
-        let members = roster.get("members").and_then(Value::as_array);
-        let members = members.ok_or_else(|| format!("{path}.members: is not a list"))?;
-        if at == 0 || roster.get("complete").and_then(Value::as_bool) == Some(true) {
-            engines.clear();
-        }
-        for (at, row) in members.iter().enumerate() {
-            let listed = member(row).map_err(|e| format!("{path}.members[{at}].{e}"))?;
-            engines.insert(listed.entry.id.clone(), listed);
-        }
-    }
-    engines.retain(|_, listed| listed.entry.state != EngineState::Gone);
-    let no = value.get("no").and_then(Value::as_u64).ok_or("known.no: is not a whole number")?;
-    Ok(Known { no, list: engines.into_values().collect() })
-}
-
-fn member(row: &Value) -> Result<Listed, String> {
-    let text =
-        |key: &str| row.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key}: is not a text"));
-    let state = match text("phase")? {
-        "up" => EngineState::In,
-        "draining" => EngineState::Draining,
-        "removed" => EngineState::Gone,
-        other => return Err(format!("phase: {other} is not known")),
-    };
-    let address = text("host_port")?;
-    let address = address.parse().map_err(|_| format!("host_port: {address} is no address"))?;
-    let entry = EngineEntry {
-        id: text("id")?.into(),
-        zone: text("locality").unwrap_or_default().into(),
-        kind: text("flavor").unwrap_or_default().into(),
-        cell: row.get("cell").and_then(Value::as_u64).unwrap_or(0),
-        state,
-        nominal: row.get("size").and_then(Value::as_f64).unwrap_or(1.0),
-        started: Duration::from_millis(row.get("up_since_ms").and_then(Value::as_u64).unwrap_or(0)),
-    };
-    Ok(Listed { entry, address })
-}
-
-/// What the name service lets know.
+/// What came of listening to the name service.
 #[derive(Debug)]
 pub enum Word {
-    /// The list, once it is another one than before, or known again.
-    List(Known),
+    /// The list, once it is another one than before, or known again; and when it was asked for.
+    List(Known, Instant),
+    /// The list still is what it was when this question was asked.
+    Same(Instant),
+    /// A list of an earlier number in answer to the newest question: an old one, or the service counts anew.
+    Disputed(Known),
+    /// Nothing usable was there to be heard.
+    Nothing,
     /// Nothing usable for a while: the list may be old.
     Silent,
 }
@@ -97,47 +55,32 @@
 pub struct Asker {
     /// None where there is no name service: the list then stays as it was told.
     server: Option<SocketAddr>,
-    /// None for as long as none can be had; and the one before it.
-    socket: Option<UdpSocket>,
-    earlier_socket: Option<UdpSocket>,
-    since_dialled: u32,
+    sockets: Sockets,
     rng: WyRand,
     name: Name,
     no: u64,
     earlier: u32,
     next: Instant,
-    /// The ids of the last questions, the newest last.
-    awaited: VecDeque<u16>,
+    /// The ids of the last questions and when they were asked, the newest last.
+    awaited: VecDeque<(u16, Instant)>,
     /// Questions without a usable answer since the last one, when that was, and whether silence was told.
     unanswered: u32,
     heard: Rc<Cell<Instant>>,
     silent: bool,
+    /// How long answers take of late.
+    answers_take: Duration,
     /// Answers that were of no use, since the start.
     pub passed_over: Rc<Cell<u64>>,
     log: Logger,
 }
 
-/// A socket for one name service: what others send to it never arrives.
-fn dial(server: SocketAddr) -> std::io::Result<UdpSocket> {
-    let local: IpAddr = match server {
-        SocketAddr::V4(_) => IpAddr::from([0, 0, 0, 0]),
-        SocketAddr::V6(_) => IpAddr::from([0; 16]),
-    };
-    let socket = std::net::UdpSocket::bind((local, 0))?;
-    socket.connect(server)?;
-    socket.set_nonblocking(true)?;
-    UdpSocket::from_std(socket)
-}
-
 impl Asker {
     pub fn start(server: Option<SocketAddr>, no: u64, seed: u64, log: Logger) -> std::io::Result<Asker> {
         let name = Name::from_str(SERVICE).map_err(std::io::Error::other)?;
         let now = Instant::now();
         Ok(Asker {
             server,
-            socket: None,
-            earlier_socket: None,
-            since_dialled: 0,
+            sockets: Sockets::default(),
             rng: WyRand::new_seed(seed),
             name,
             no,
@@ -147,6 +90,7 @@
             unanswered: 0,
             heard: Rc::new(Cell::new(now)),
             silent: false,
+            answers_take: Duration::ZERO,
             passed_over: Rc::default(),
             log,
         })
@@ -155,7 +99,7 @@
     /// Asks there from now on, at once; the numbers go on.
     pub fn turn_to(&mut self, server: Option<SocketAddr>) {
         self.server = server;
-        (self.socket, self.earlier_socket) = (None, None);
+        self.sockets.close();
         self.awaited.clear();
         self.next = Instant::now();
     }
@@ -172,13 +116,20 @@
         later
     }
 
+    /// The list that was handed over last was not taken in: the next answer counts as news whatever its number.
+    pub fn not_taken(&mut self) {
+        (self.no, self.earlier) = (0, 0);
+    }
+
     /// May be dropped and called again at any time: no more than a question is lost.
     pub async fn change(&mut self) -> Word {
         loop {
             tokio::time::sleep_until(self.next).await;
-            self.next = Instant::now() + EVERY;
-            if let Some(known) = self.ask().await {
-                return Word::List(known);
+            let began = Instant::now();
+            self.next = began + self.patience();
+            let word = self.ask().await;
+            if let Some(Word::List(..) | Word::Same(_)) = word {
+                return word.unwrap_or(Word::Nothing);
             }
             self.unanswered = self.unanswered.saturating_add(1);
             if !self.silent && self.heard.get().elapsed() > SILENT {
@@ -186,133 +137,107 @@
                 slog::warn!(self.log, "name service silent: the list may be old"; "no" => self.no);
                 return Word::Silent;
             }
+            if let Some(disputed) = word {
+                return disputed;
+            }
+            if self.next.elapsed() < STOOD_STILL {
+                return Word::Nothing;
+            }
         }
     }
 
-    async fn ask(&mut self) -> Option<Known> {
+    /// How long an answer is waited for before the question is asked again, from another socket: briefly at first, as the answer
+    /// may have been lost; then as long as between any two questions.
+    fn patience(&self) -> Duration {
+        let first = AGAIN.max(self.answers_take * 2);
+        (first * (self.unanswered + 1)).min(EVERY)
+    }
+
+    /// What a usable answer says, if one comes.
+    async fn ask(&mut self) -> Option<Word> {
         let Some(server) = self.server else { return std::future::pending().await };
-        if self.socket.is_none() || self.since_dialled >= FRESH_SOCKET {
-            // Where none can be had now, the old one serves on, and it is tried again in time.
-            if let Ok(fresh) = dial(server) {
-                self.earlier_socket = self.socket.replace(fresh);
-            }
-            self.since_dialled = 0;
-        }
-        self.since_dialled += 1;
         let mut question = Message::query();
         question.metadata.id = self.rng.generate();
         question.add_query(Query::query(self.name.clone(), RecordType::SRV));
-        self.awaited.push_back(question.metadata.id);
+        self.awaited.push_back((question.metadata.id, Instant::now()));
         if self.awaited.len() > AWAITED {
             self.awaited.pop_front();
         }
-        // Where it cannot be sent or nobody listens, the next question comes in its time.
-        if let Some(socket) = &self.socket {
-            let _ = socket.send(&question.to_vec().ok()?).await;
-        }
-        let (mut bytes, mut late) = ([0; LONGEST], [0; LONGEST]);
+        let newest = question.metadata.id;
+        self.sockets.ask(server, &question.to_vec().ok()?, self.unanswered > 0).await;
+        let mut bytes = [0; LONGEST];
+        let mut best: Option<(Known, Instant)> = None;
         loop {
-            let read = async {
-                tokio::select! {
-                    read = receive(&self.socket, &mut bytes) => read,
-                    read = receive(&self.earlier_socket, &mut late) => {
-                        let length = read?;
-                        bytes[..length].copy_from_slice(&late[..length]);
-                        Ok(length)
-                    }
-                }
+            let heard = match best {
+                None => timeout_at(self.next, self.sockets.hear(&mut bytes)).await.ok(),
+                // Whatever else has come is read before anything is made of it.
+                Some(_) => self.sockets.hear(&mut bytes).now_or_never(),
             };
-            let Ok(read) = timeout_at(self.next, read).await else { return None };
-            let Ok(length) = read else { continue };
-            let word = Message::from_vec(&bytes[..length]).ok().filter(|answer| {
-                let ours = answer.queries.first().is_none_or(|q| q.name() == &self.name);
-                let response = answer.metadata.message_type == MessageType::Response;
-                ours && response && self.awaited.contains(&answer.metadata.id)
-            });
-            let list = word.as_ref().and_then(|answer| read_answer(answer, &self.name));
-            if list.as_ref().is_none_or(|known| known.no < self.no) {
-                self.passed_over.set(self.passed_over.get() + 1);
-                let why = match (&word, &list) {
-                    (None, _) => "no answer to a question of ours",
-                    (Some(_), None) => "a failure, or no whole list",
-                    (Some(_), Some(_)) => "an earlier number",
-                };
-                slog::debug!(self.log, "answer of the name service passed over"; "why" => why, "no" => self.no,
-                    "its_no" => list.as_ref().map(|known| known.no));
-            }
-            let newest = word.is_some_and(|answer| answer.metadata.id == question.metadata.id);
-            match list {
-                Some(known) if known.no >= self.no || newest => return self.news(known),
-                None if newest => self.next = self.next.min(Instant::now() + AGAIN),
-                _ => {}
-            }
+            let Some(length) = heard else { break };
+            let usable = self.read(&bytes[..length], newest);
+            best = usable.into_iter().chain(best).max_by_key(|(known, asked)| (known.no, *asked));
         }
+        let (known, asked) = best?;
+        Some(self.news(known, asked))
+    }
+
+    /// The list of an answer that may be believed, and when its question was asked.
+    fn read(&mut self, bytes: &[u8], newest: u16) -> Option<(Known, Instant)> {
+        let word = Message::from_vec(bytes).ok().and_then(|answer| {
+            let ours = answer.queries.first().is_none_or(|q| q.name() == &self.name);
+            let response = answer.metadata.message_type == MessageType::Response;
+            let asked = self.awaited.iter().find(|(id, _)| *id == answer.metadata.id).map(|(_, at)| *at);
+            asked.filter(|_| ours && response).map(|asked| (answer, asked))
+        });
+        let list = word.as_ref().and_then(|(answer, _)| read_answer(answer, &self.name));
+        if list.as_ref().is_none_or(|known| known.no < self.no) {
+            self.pass_over(word.is_some(), list.as_ref());
+        }
+        let (answer, asked) = word?;
+        let is_newest = answer.metadata.id == newest;
+        if list.is_none() && is_newest {
+            self.next = self.next.min(Instant::now() + AGAIN);
+        }
+        list.filter(|known| known.no >= self.no || is_newest).map(|known| (known, asked))
+    }
+
+    fn last_asked(&self) -> Instant {
+        self.awaited.back().map_or_else(Instant::now, |(_, at)| *at)
+    }
+
+    fn pass_over(&self, ours: bool, list: Option<&Known>) {
+        self.passed_over.set(self.passed_over.get() + 1);
+        let why = match (ours, list) {
+            (false, _) => "no answer to a question of ours",
+            (true, None) => "a failure, or no whole list",
+            (true, Some(_)) => "an earlier number",
+        };
+        slog::debug!(self.log, "answer of the name service passed over"; "why" => why, "no" => self.no,
+            "its_no" => list.map(|known| known.no));
     }
 
     /// A list of the same number is no news, one of an earlier number a late word or another server's.
-    fn news(&mut self, known: Known) -> Option<Known> {
+    fn news(&mut self, known: Known, asked: Instant) -> Word {
         self.earlier = if known.no < self.no { self.earlier + 1 } else { 0 };
         if known.no < self.no && self.earlier < GONE_BACK {
-            return None;
+            // It was heard: the next question waits its ordinary time.
+            self.next = self.next.max(self.last_asked() + EVERY);
+            return Word::Disputed(known);
         }
         let news = known.no != self.no || self.silent;
         if self.silent {
             slog::info!(self.log, "name service answers again"; "unanswered" => self.unanswered);
         }
         (self.no, self.earlier, self.unanswered, self.silent) = (known.no, 0, 0, false);
-        self.since_dialled = 0;
+        self.answers_take = (self.answers_take * 3 + asked.elapsed()) / 4;
+        self.next = self.last_asked() + EVERY;
         self.heard.set(Instant::now());
-        news.then_some(known)
-    }
-}
-
-async fn receive(socket: &Option<UdpSocket>, bytes: &mut [u8]) -> std::io::Result<usize> {
-    match socket {
-        Some(socket) => socket.recv(bytes).await,
-        None => std::future::pending().await,
-    }
-}
-
-/// None where the answer holds no whole list.
-pub fn read_answer(answer: &Message, service: &Name) -> Option<Known> {
-    if answer.metadata.response_code != ResponseCode::NoError || answer.metadata.truncation {
-        return None;
-    }
-    let serial = answer.authorities.iter().find_map(|record| match &record.data {
-        RData::SOA(soa) => Some(soa.serial),
-        _ => None,
-    })?;
-    let others = || answer.answers.iter().chain(&answer.additionals);
-    let mut list = Vec::new();
-    for record in answer.answers.iter().filter(|record| record.name == *service) {
-        let RData::SRV(srv) = &record.data else { continue };
-        let mut labels = srv.target.iter().map(|label| String::from_utf8_lossy(label).into_owned());
-        let (id, zone) = (labels.next()?, labels.next()?);
-        let of_target = || others().filter(|record| record.name == srv.target);
-        let ip = of_target().find_map(|record| record.data.ip_addr())?;
-        let mut texts = BTreeMap::new();
-        for record in of_target() {
-            let RData::TXT(txt) = &record.data else { continue };
-            for text in txt.txt_data.iter() {
-                if let Some((key, value)) = String::from_utf8_lossy(text).split_once('=') {
-                    texts.insert(key.to_string(), value.to_string());
-                }
-            }
+        if news {
+            Word::List(known, asked)
+        } else {
+            Word::Same(asked)
         }
-        // Without them placement and the care for cold engines would go by what was never told.
-        let told = |key: &str| texts.get(key).map(String::as_str);
-        let entry = EngineEntry {
-            id: id.into(),
-            zone: zone.into(),
-            kind: told("kind")?.into(),
-            cell: told("cell")?.parse().ok()?,
-            state: if srv.priority == 0 { EngineState::In } else { EngineState::Draining },
-            nominal: f64::from(srv.weight) / 10.0,
-            started: Duration::from_millis(told("started")?.parse().ok()?),
-        };
-        list.push(Listed { entry, address: SocketAddr::new(ip, srv.port) });
     }
-    Some(Known { no: u64::from(serial), list })
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/gateway/src/names/answer.rs
@@ -0,0 +1,52 @@
+//! The list of engines as an answer of the name service holds it.
+
+use super::Known;
+use crate::reducer::Listed;
+use bramblewharf::interface::{EngineEntry, EngineState};
+use hickory_proto::op::{Message, ResponseCode};
+use hickory_proto::rr::{Name, RData};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// None where the answer holds no whole list.
+pub fn read_answer(answer: &Message, service: &Name) -> Option<Known> {
+    if answer.metadata.response_code != ResponseCode::NoError || answer.metadata.truncation {
+        return None;
+    }
+    let serial = answer.authorities.iter().find_map(|record| match &record.data {
+        RData::SOA(soa) => Some(soa.serial),
+        _ => None,
+    })?;
+    let others = || answer.answers.iter().chain(&answer.additionals);
+    let mut list = Vec::new();
+    for record in answer.answers.iter().filter(|record| record.name == *service) {
+        let RData::SRV(srv) = &record.data else { continue };
+        let mut labels = srv.target.iter().map(|label| String::from_utf8_lossy(label).into_owned());
+        let (id, zone) = (labels.next()?, labels.next()?);
+        let of_target = || others().filter(|record| record.name == srv.target);
+        let ip = of_target().find_map(|record| record.data.ip_addr())?;
+        let mut texts = BTreeMap::new();
+        for record in of_target() {
+            let RData::TXT(txt) = &record.data else { continue };
+            for text in txt.txt_data.iter() {
+                if let Some((key, value)) = String::from_utf8_lossy(text).split_once('=') {
+                    texts.insert(key.to_string(), value.to_string());
+                }
+            }
+        }
+        // Without them placement and the care for cold engines would go by what was never told.
+        let told = |key: &str| texts.get(key).map(String::as_str);
+        let entry = EngineEntry {
+            id: id.into(),
+            zone: zone.into(),
+            kind: told("kind")?.into(),
+            cell: told("cell")?.parse().ok()?,
+            state: if srv.priority == 0 { EngineState::In } else { EngineState::Draining },
+            nominal: f64::from(srv.weight) / 10.0,
+            started: Duration::from_millis(told("started")?.parse().ok()?),
+        };
+        list.push(Listed { entry, address: SocketAddr::new(ip, srv.port) });
+    }
+    Some(Known { no: u64::from(serial), list })
+}
--- /dev/null
+++ b/crates/gateway/src/names/known.rs
@@ -0,0 +1,59 @@
+//! The list of engines as a configuration holds it.
+
+use crate::reducer::Listed;
+use bramblewharf::interface::{EngineEntry, EngineState, Id};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The list as it stands after an event with this number.
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub no: u64,
+    pub list: Vec<Listed>,
+}
+
+/// Reads `known` of the configuration: the first event holds the whole list, later ones what has changed.
+pub fn known(value: &Value) -> Result<Known, String> {
+    let mut engines: BTreeMap<Id, Listed> = BTreeMap::new();
+    let items = value.get("items").and_then(Value::as_array).ok_or("known.items: is not a list")?;
+    for (at, item) in items.iter().enumerate() {
+        let path = format!("known.items[{at}].roster");
+        let roster = item.get("roster").ok_or_else(|| format!("{path}: is missing"))?;
+        let members = roster.get("members").and_then(Value::as_array);
+        let members = members.ok_or_else(|| format!("{path}.members: is not a list"))?;
+        if at == 0 || roster.get("complete").and_then(Value::as_bool) == Some(true) {
+            engines.clear();
+        }
+        for (at, row) in members.iter().enumerate() {
+            let listed = member(row).map_err(|e| format!("{path}.members[{at}].{e}"))?;
+            engines.insert(listed.entry.id.clone(), listed);
+        }
+    }
+    engines.retain(|_, listed| listed.entry.state != EngineState::Gone);
+    let no = value.get("no").and_then(Value::as_u64).ok_or("known.no: is not a whole number")?;
+    Ok(Known { no, list: engines.into_values().collect() })
+}
+
+fn member(row: &Value) -> Result<Listed, String> {
+    let text =
+        |key: &str| row.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key}: is not a text"));
+    let state = match text("phase")? {
+        "up" => EngineState::In,
+        "draining" => EngineState::Draining,
+        "removed" => EngineState::Gone,
+        other => return Err(format!("phase: {other} is not known")),
+    };
+    let address = text("host_port")?;
+    let address = address.parse().map_err(|_| format!("host_port: {address} is no address"))?;
+    let entry = EngineEntry {
+        id: text("id")?.into(),
+        zone: text("locality").unwrap_or_default().into(),
+        kind: text("flavor").unwrap_or_default().into(),
+        cell: row.get("cell").and_then(Value::as_u64).unwrap_or(0),
+        state,
+        nominal: row.get("size").and_then(Value::as_f64).unwrap_or(1.0),
+        started: Duration::from_millis(row.get("up_since_ms").and_then(Value::as_u64).unwrap_or(0)),
+    };
+    Ok(Listed { entry, address })
+}
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -77,6 +77,12 @@
         execution: usize,
     },
     Engines(ListKind, Vec<Listed>),
+    /// The name service was listened to just now; its last usable answer is to a question of then, where there is a new one.
+    ListAsked(Option<Duration>),
+    /// The name service told a list of an earlier number.
+    ListDisputed(Vec<Listed>),
+    /// There is no name service to ask any longer.
+    ListStays,
     /// What another gateway told.
     Told(Event),
     /// What another part of the fleet said, and from where.
@@ -346,6 +352,13 @@
                 }
             }
             Input::Engines(kind, list) => self.list(kind, list),
+            Input::ListAsked(confirmed) => self.news.push_back(Event::ListAsked(confirmed)),
+            Input::ListDisputed(list) => {
+                let up = list.into_iter().filter(|listed| listed.entry.state == EngineState::In);
+                self.news.push_back(Event::ListDisputed(up.map(|listed| listed.entry.id).collect()));
+                self.news.push_back(Event::ListAsked(None));
+            }
+            Input::ListStays => self.news.push_back(Event::ListStays),
             Input::Told(event) => self.news.push_back(event),
             Input::Fleet(Envelope { from: party, message: Message::Policy(bytes), .. }, from) => {
                 self.heard_of_policy(now, party, &bytes, from);
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// The time that an instant of this process was at.
+    fn at(&self, instant: TimerInstant) -> Duration {
+        self.now().saturating_sub(instant.elapsed())
+    }
+
     fn instant(&self, at: Duration) -> TimerInstant {
         match self.ticks {
             Some(_) => TimerInstant::now() + at.saturating_sub(self.now()),
@@ -147,9 +152,15 @@
 impl Core {
     /// The only way in: all that happens goes through the reducer, and its effects follow at once.
     pub fn input(self: &Rc<Self>, input: Input) {
+        self.take_in(input);
+    }
+
+    /// Whether it was taken in whole: a fault in a decision may have left a part of it out.
+    fn take_in(self: &Rc<Self>, input: Input) -> bool {
         if self.closed.get() {
-            return;
+            return true;
         }
+        let faults = self.faults.get();
         self.trace.input(&input);
         let (effects, sooner) = {
             let mut reducer = self.reducer.borrow_mut();
@@ -177,6 +188,7 @@
             reducer.fleet().into_iter().for_each(|node| link.note(now, node, fact.as_ref()));
         }
         effects.into_iter().for_each(|effect| self.carry_out(effect));
+        self.faults.get() == faults
     }
 
     /// Whether a statement whose large text begins to come would be rejected for want of room for statements.
@@ -321,27 +333,42 @@
     async fn follow_list(self: Rc<Self>, mut asker: Asker) {
         let mut before: BTreeMap<Id, EngineState> = BTreeMap::new();
         loop {
-            let word = tokio::select! {
+            let news = tokio::select! {
                 biased;
                 () = self.turn.notified() => {
                     let Turn { names, known } = self.turned.take();
                     if let Some(names) = names {
                         asker.turn_to(names);
+                        self.input(names.map_or(Input::ListStays, |_| Input::ListAsked(None)));
                     }
                     match known.filter(|known| asker.told(known.no)) {
-                        Some(known) => Word::List(known),
+                        // A file may be older than what it holds: it confirms nothing.
+                        Some(known) => (known, None),
                         None => continue,
                     }
                 }
-                word = asker.change() => word,
-            };
-            let known = match word {
-                Word::List(known) => known,
-                Word::Silent => {
-                    self.input(Input::Engines(ListKind::Failed, Vec::new()));
-                    continue;
-                }
+                word = asker.change() => match word {
+                    Word::List(known, asked) => (known, Some(asked)),
+                    Word::Same(asked) => {
+                        self.input(Input::ListAsked(Some(self.clock.at(asked))));
+                        continue;
+                    }
+                    Word::Disputed(known) => {
+                        self.input(Input::ListDisputed(known.list));
+                        continue;
+                    }
+                    Word::Nothing => {
+                        self.input(Input::ListAsked(None));
+                        continue;
+                    }
+                    Word::Silent => {
+                        self.input(Input::ListAsked(None));
+                        self.input(Input::Engines(ListKind::Failed, Vec::new()));
+                        continue;
+                    }
+                },
             };
+            let (known, asked) = news;
             let entries = known.list.iter().map(|listed| (listed.entry.id.clone(), listed.entry.state));
             let now: BTreeMap<Id, EngineState> = entries.collect();
             let draining = now.values().filter(|state| **state == EngineState::Draining).count();
@@ -360,7 +387,12 @@
                 .filter(|id| !now.contains_key(*id))
                 .for_each(|id| self.trace.listed(id, "Gone", None));
             before = now;
-            self.input(Input::Engines(ListKind::All, known.list));
+            // Confirmed is what was taken in, and nothing else.
+            match (self.take_in(Input::Engines(ListKind::All, known.list)), asked) {
+                (true, Some(asked)) => self.input(Input::ListAsked(Some(self.clock.at(asked)))),
+                (true, None) => {}
+                (false, _) => asker.not_taken(),
+            }
         }
     }
 
@@ -493,6 +525,10 @@
         });
         first.into_iter().for_each(|effect| core.carry_out(effect));
         core.input(Input::Engines(ListKind::Remembered, start.known.list));
+        if start.names.is_some() {
+            // What the configuration holds was told with it.
+            core.input(Input::ListAsked(Some(core.clock.now())));
+        }
         let front = Front::new(&core.bounds);
         slog::info!(core.log, "serving"; "name" => start.name, "listen" => %address,
             "bounds" => ?core.bounds);
--- a/crates/rig/src/scale/decide.rs
+++ b/crates/rig/src/scale/decide.rs
@@ -718,6 +718,7 @@
         cold: ColdStart { capacity: 0.32, warm_after: MS * 15_000, multiple: 2.0, window: MS * 2_000 },
         budget: None,
         order_pause: MS * 300,
+        drain_grace: Duration::ZERO,
         list_is_asked: false,
         list_ask_every: Duration::ZERO,
         execution_limit: 5,
--- a/crates/rig/src/soak/discovery.rs
+++ b/crates/rig/src/soak/discovery.rs
@@ -6,6 +6,7 @@
 use hickory_proto::rr::{Name, RData, Record};
 use nanorand::{Rng, WyRand};
 use serde_json::{json, Value};
+use std::collections::HashSet;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -102,6 +103,8 @@
     pub other_id: u32,
     pub older: u32,
     pub late: Duration,
+    /// What has asked so far hears nothing any more, though it is answered: only new sockets do.
+    pub dead_flows: bool,
     /// The numbers that are told lie so much lower than the truth's.
     pub numbers_back: u32,
 }
@@ -139,6 +142,8 @@
             told: outlet.told.clone(),
             rng: WyRand::new_seed(seed),
             pending: Vec::new(),
+            seen: HashSet::new(),
+            dead: HashSet::new(),
         };
         let over = outlet.over.clone();
         std::thread::spawn(move || serving.run(&over));
@@ -176,6 +181,9 @@
     told: Arc<Mutex<Vec<Told>>>,
     rng: WyRand,
     pending: Vec<Pending>,
+    /// Who has asked, and of these whose path has died.
+    seen: HashSet<SocketAddr>,
+    dead: HashSet<SocketAddr>,
 }
 
 impl Serving {
@@ -197,6 +205,12 @@
 
     fn answer(&mut self, id: u16, to: SocketAddr) {
         let faults = self.faults.lock().expect("faults").clone();
+        match faults.dead_flows {
+            true if self.dead.is_empty() => self.dead = std::mem::take(&mut self.seen),
+            true => {}
+            false => self.dead.clear(),
+        }
+        self.seen.insert(to);
         if faults.silent || self.happens(faults.lost) {
             return;
         }
@@ -231,7 +245,11 @@
         self.pending = later;
         for Pending { to, bytes, serial, .. } in due {
             // What was under way when the path fell silent does not arrive either.
-            if silent || self.socket.send_to(&bytes, to).is_err() {
+            if silent {
+                continue;
+            }
+            // On a path that has died the answer goes out all the same, and counts.
+            if !self.dead.contains(&to) && self.socket.send_to(&bytes, to).is_err() {
                 continue;
             }
             if let Some(serial) = serial {
--- a/crates/rig/src/soak/faults.rs
+++ b/crates/rig/src/soak/faults.rs
@@ -99,7 +99,8 @@
             Fault::Engine { engine, mode, lasts: between(rng, 300, 4000) }
         }
         9..=11 => {
-            let faults = NameFaults { silent: true, ..NameFaults::default() };
+            let dead_flows = rng.generate_range(0..3u32) == 0;
+            let faults = NameFaults { silent: !dead_flows, dead_flows, ..NameFaults::default() };
             let whose = (rng.generate_range(0..2u32) == 0).then_some(gateway);
             Fault::Names { gateway: whose, faults, lasts: between(rng, 500, 4000) }
         }
--- a/crates/rig/tests/stale_list.rs
+++ b/crates/rig/tests/stale_list.rs
@@ -62,6 +62,16 @@
     assert!(of_drains(&found).is_empty(), "{:#?}", of_drains(&found));
 }
 
+#[test]
+fn a_drain_told_on_a_path_that_has_died_is_kept() {
+    let found = under(|fleet| {
+        fleet.names(None, &NameFaults { dead_flows: true, ..NameFaults::default() });
+        fleet.drain(0);
+        fleet.run(2000 * MS).unwrap();
+    });
+    assert!(of_drains(&found).is_empty(), "{:#?}", of_drains(&found));
+}
+
 #[test]
 fn a_drain_told_under_an_earlier_number_is_kept() {
     let found = under(|fleet| {
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -205,6 +205,7 @@
         },
         budget,
         order_pause: rules.micros("orderPauseUs")?.unwrap_or_default(),
+        drain_grace: rules.micros("stopSendingWithinUs")?.unwrap_or_default(),
         list_is_asked: asked,
         list_ask_every: if asked { rules.span("askEveryUs")? } else { Duration::ZERO },
         execution_limit: allowed.above_zero("tryLimit", 1.0)? as usize,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,10 +2,13 @@
 //! with the time since the start, and carry out the `Action`s it returns, in order. It does no I/O and shares
 //! nothing. Its interface is in `interface.rs`; why it decides as it does, in `docs/design.md`.
 
+mod lease;
+
 use crate::interface::*;
 use crate::state::*;
 use bramblewharf_budgets::Claim;
 use bramblewharf_turns::{mix, signals, subsets, Draw, Reach, Signals, Turn};
+use lease::{ListLease, Stale};
 use nanorand::{Rng, WyRand};
 use std::cell::{Cell, LazyCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -98,7 +101,7 @@
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
-    OneAnswer, NoDoubleEffect, Drain, Cold, Order, Placement, Budget, Text, Leave, Absent, Closing,
+    OneAnswer, NoDoubleEffect, Drain, List, Cold, Order, Placement, Budget, Text, Leave, Absent, Closing,
 }
 /// Why a statement got no further execution and was given up, for whoever reads the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -149,6 +152,11 @@
     subscribed: bool,
     list_at: Duration,
     list_failed: bool,
+    /// Where a name service is asked: how long the list may be acted on; statements that wait until it was listened to.
+    lease: ListLease,
+    unread: Vec<Id>,
+    /// While a list of an earlier number was heard last: the engines that are up by it.
+    disputed: Option<BTreeSet<Id>>,
     room: Room,
     actions: Vec<Action>,
     /// Why the statement at hand has no engine, and the statements given up by the event at hand.
@@ -173,6 +181,7 @@
             unjudged: false, crumbs, usual_told: Mean(0.0, false), told_at: now, usual_pace: Mean(1.0, false),
             reach: Reach::start(subsets::Terms::default(), draw), signals: Signals::start(terms, seed),
             list_due: site.list_is_asked.then_some(now), subscribed: false, list_at: now, list_failed: false,
+            lease: ListLease::new(site.drain_grace), unread: Vec::new(), disputed: None,
             room: Room::default(), began: now, closes: None, refusal: Refusal::NoEngine, refused: Vec::new(),
             site,
         };
@@ -188,6 +197,9 @@
         self.refused.clear();
         match event {
             Event::Engines(kind, entries) => self.list(now, kind, entries),
+            Event::ListAsked(confirmed) => self.list_asked(now, confirmed),
+            Event::ListDisputed(up) => self.disputed = Some(up.into_iter().collect()),
+            Event::ListStays => self.lease.release(),
             Event::Statement(said) => self.take(now, said),
             Event::ClientGone(id) => self.drive(now, &id, Input::Finished),
             Event::Absent(id, absent) => self.stmts.get_mut(&id).into_iter().for_each(|s| s.absent = absent),
@@ -281,6 +293,10 @@
         if !self.has_turn(now, stmt) {
             return Input::NotItsTurn;
         }
+        if self.lease.stale(now) == Some(Stale::Unread) {
+            self.unread.push(id.clone());
+            return Input::NotItsTurn;
+        }
         let reach = &self.reach;
         let first = || reach.now().nth(self.site.gateway as usize % reach.width().max(1));
         let Some(start) = self.last.as_ref().or_else(first) else {
@@ -430,6 +446,7 @@
             (Rule::OneAnswer, stmt.state == State::Over || now + self.site.tick >= stmt.until),
             (Rule::NoDoubleEffect, !self.repeat_is_harmless(now, stmt, before, to)),
             (Rule::Drain, to.entry.state != EngineState::In || !self.list_is_known(now, to)),
+            (Rule::List, self.lease.stale(now).is_some() || self.is_disputed(to)),
             (Rule::Absent, stmt.absent),
         ];
         broken.iter().find(|(_, broken)| *broken).map(|(rule, _)| *rule)
@@ -734,6 +751,22 @@
         self.engines.retain(|_, e| !e.is_over());
         self.divide();
     }
+    /// Guards against acting on a list that may hide a drain: name service silent, its answers lost, this process stood still.
+    /// Statements that came before it was listened to have their turn now. Hurts where the service is down and nothing drains.
+    fn list_asked(&mut self, now: Duration, confirmed: Option<Duration>) {
+        self.lease.listened(now, confirmed);
+        if confirmed.is_some() {
+            self.disputed = None;
+        }
+        for id in std::mem::take(&mut self.unread) {
+            self.drive(now, &id, Input::Turn);
+        }
+    }
+    /// Guards against a name service that counts anew, or whose replicas differ: an engine has to be up by both lists. Costs an engine
+    /// that has just joined a moment where an old list comes late.
+    fn is_disputed(&self, to: &Engine) -> bool {
+        self.disputed.as_ref().is_some_and(|up| !up.contains(&to.entry.id))
+    }
     fn beat(&mut self, now: Duration) {
         self.actions.push(Action::Timer { mark: BEAT_MARK, delay: BEAT });
         if self.list_due.take_if(|due| now >= *due).is_some() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,6 +86,8 @@
     pub cold: ColdStart,
     pub budget: Option<Budget>,
     pub order_pause: Duration,
+    /// How long sends may go on to an engine after its drain was told.
+    pub drain_grace: Duration,
     pub list_is_asked: bool,
     pub list_ask_every: Duration,
     pub execution_limit: usize,
@@ -189,6 +191,14 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     Engines(ListKind, Vec<EngineEntry>),
+    /// Whoever asks the name service has listened to it just now; with when the question of its last usable answer was asked. From
+    /// the first one on the list may be acted on for a while only.
+    ListAsked(Option<Duration>),
+    /// The name service told a list that may be older than the one in force: these engines are up by it. Counts until the list in
+    /// force is confirmed or replaced.
+    ListDisputed(Vec<Id>),
+    /// Nobody asks for the list any longer: it stays as it is.
+    ListStays,
     Statement(NewStatement),
     ClientGone(Id),
     /// No call of the statement's client is open, or one is again: nothing new begins for a client that is absent.
