Time that calls waited while the process stood still counts; engines get what is left

Same class as the stale list: acting after a standstill as if no time had passed. Lines at fault: front.rs statement() (time counts from the read), engines.rs post() (the decision's time-out, not what is left of it).

Change: standstill.rs notes pauses over 90 ms; what is read within 60 ms after one counts as having waited since its beginning. X-Max-Ms is worked out right before the call goes out. A statement with less than two beats left does not wait for the list to be listened to.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -144,7 +144,8 @@
     pub address: SocketAddr,
     pub parcel: &'a Parcel,
     pub mem_mb: f64,
-    pub timeout: Duration,
+    /// Until when its end is waited for.
+    pub until: Instant,
     pub may: May<'a>,
 }
 
@@ -336,14 +337,16 @@
     }
 
     async fn post(&self, way: &mut Way, job: &Job<'_>) -> Call {
-        let Job { parcel, mem_mb, timeout, .. } = job;
+        let Job { parcel, mem_mb, until, .. } = job;
         let uri = format!("http://{}/x", way.address);
         let request = |client: &Client| {
+            // What is left right before it goes out: a connection may have been made in between.
+            let left = until.saturating_duration_since(Instant::now());
             let mut request = client
                 .post(&uri)
                 .insert_header(("X-Ticket", &parcel.id[..]))
                 .insert_header(("X-Queue", &parcel.workload[..]))
-                .insert_header(("X-Max-Ms", timeout.as_micros().div_ceil(1000).max(1) as u64));
+                .insert_header(("X-Max-Ms", left.as_micros().div_ceil(1000).max(1) as u64));
             if let Some(key) = &parcel.key {
                 request = request.insert_header(("X-Nonce", &key[..]));
             }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -315,6 +315,10 @@
         }
     }
     parcel.text = text;
+    // Its time counts from when it came; it may have waited while this process stood still.
+    let now = Instant::now();
+    core.standstill.works(now);
+    said.time_left = said.time_left.saturating_sub(core.standstill.waited(now));
     let id = said.id.clone();
     let (caller, mut answer) = core.expect();
     let mut waiting = Waiting { core: core.clone(), id: Some(id.clone()), caller };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod reducer;
 mod runtime;
 mod sessions;
+mod standstill;
 pub mod tables;
 mod trace;
 mod upload;
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -10,6 +10,7 @@
 use crate::peers::Peers;
 use crate::policy;
 use crate::reducer::{Answer, Effect, Input, Reducer, Text};
+use crate::standstill::Standstill;
 use crate::trace::{Attempt, Trace};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
@@ -125,6 +126,8 @@
     pub bodies: Rc<Keeper>,
     pub log: Logger,
     trace: Trace,
+    /// When this process stood still last.
+    pub standstill: Standstill,
     engines: Engines,
     peers: Option<Peers>,
     fleet: Option<Link>,
@@ -160,6 +163,7 @@
         if self.closed.get() {
             return true;
         }
+        self.standstill.works(Instant::now());
         let faults = self.faults.get();
         self.trace.input(&input);
         let (effects, sooner) = {
@@ -228,6 +232,7 @@
                 let list_age = self.list_heard.get().elapsed();
                 let (of, to) = (&id, &engine);
                 self.trace.decided(&Attempt { id: of, execution, engine: to, address, timeout, list_age });
+                let until = Instant::now() + timeout;
                 let stopping = self.stopping.borrow_mut().remove(&(id.clone(), engine));
                 let key = (id.clone(), execution);
                 let task = actix_rt::spawn(async move {
@@ -246,7 +251,7 @@
                     };
                     let arrives = || core.reducer.borrow().may_arrive(core.clock.now(), &id, execution);
                     let may = May { begin: &may, arrive: &arrives };
-                    let job = Job { address, parcel: &parcel, mem_mb, timeout, may };
+                    let job = Job { address, parcel: &parcel, mem_mb, until, may };
                     let noted = |note| core.input(Input::Noted { id: id.clone(), execution, note });
                     let ending = core.engines.run(job, noted).await;
                     core.running.borrow_mut().remove(&(id.clone(), execution));
@@ -505,6 +510,7 @@
             stay_away,
             bodies,
             trace: Trace::new(&log),
+            standstill: Standstill::new(Instant::now()),
             log,
             engines,
             peers,
--- /dev/null
+++ b/crates/gateway/src/standstill.rs
@@ -0,0 +1,41 @@
+//! Finds out when this process stood still, and so how long what it reads just after that may have waited: a client's time counts from
+//! when its call came, not from when it was read.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+/// Something happens in a gateway more often than this; a longer gap is a pause of the process or of its machine.
+const LONGEST_GAP: Duration = Duration::from_millis(90);
+/// What waited during a pause is read within this after it.
+const READ_WITHIN: Duration = Duration::from_millis(60);
+
+/// The last pause of this process.
+pub struct Standstill {
+    seen: Cell<Instant>,
+    pause: Cell<Option<(Instant, Instant)>>,
+}
+
+impl Standstill {
+    pub fn new(now: Instant) -> Standstill {
+        Standstill { seen: Cell::new(now), pause: Cell::new(None) }
+    }
+
+    /// The process is at work; to be called whenever anything happens.
+    pub fn works(&self, now: Instant) {
+        let seen = self.seen.replace(now);
+        if now.saturating_duration_since(seen) > LONGEST_GAP {
+            self.pause.set(Some((seen, now)));
+        }
+    }
+
+    /// How long what is read now may have waited to be read.
+    pub fn waited(&self, now: Instant) -> Duration {
+        match self.pause.get() {
+            Some((from, until)) if now <= until + READ_WITHIN => now.saturating_duration_since(from),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/standstill/tests.rs
@@ -0,0 +1,16 @@
+use super::*;
+
+#[test]
+fn what_is_read_just_after_a_pause_may_have_waited_since_its_beginning() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let standstill = Standstill::new(start);
+    for ms in (0..=500).step_by(50) {
+        standstill.works(at(ms));
+        assert_eq!(standstill.waited(at(ms)), Duration::ZERO);
+    }
+    standstill.works(at(1500));
+    standstill.works(at(1510));
+    assert_eq!(standstill.waited(at(1510)), Duration::from_millis(1010));
+    assert_eq!(standstill.waited(at(1600)), Duration::ZERO);
+}
--- a/crates/rig/src/soak/gateways.rs
+++ b/crates/rig/src/soak/gateways.rs
@@ -54,6 +54,8 @@
     pub address: SocketAddr,
     pub phase: Arc<Mutex<Phase>>,
     pub lives: Vec<Life>,
+    /// From when until when its process stood still.
+    pub stops: Vec<(Instant, Option<Instant>)>,
     outlet: Outlet,
     /// Outlets that the configuration named before, and what they told.
     earlier: Vec<Outlet>,
@@ -95,6 +97,7 @@
             address: own_address(),
             phase: Arc::new(Mutex::new(Phase::Down)),
             lives: Vec::new(),
+            stops: Vec::new(),
             outlet: Outlet::open(discovery, seed)?,
             earlier: Vec::new(),
             child: None,
@@ -170,6 +173,19 @@
         }
     }
 
+    /// Its process stands still until it is told to go on.
+    pub fn stop(&mut self) {
+        if self.stops.last().is_none_or(|(_, until)| until.is_some()) {
+            self.stops.push((Instant::now(), None));
+        }
+        self.signal(Signal::STOP);
+    }
+
+    pub fn go_on(&mut self) {
+        self.signal(Signal::CONT);
+        self.stops.iter_mut().for_each(|(_, until)| *until = until.or(Some(Instant::now())));
+    }
+
     /// SIGKILL out of the blue.
     pub fn kill(&mut self) {
         self.set_phase(Phase::Down);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -293,7 +293,8 @@
         if !self.has_turn(now, stmt) {
             return Input::NotItsTurn;
         }
-        if self.lease.stale(now) == Some(Stale::Unread) {
+        // One with less time than until the next two beats does not wait for it.
+        if self.lease.stale(now) == Some(Stale::Unread) && now + BEAT * 2 + self.site.tick < stmt.until {
             self.unread.push(id.clone());
             return Input::NotItsTurn;
         }
