--- a/crates/rig/src/soak/discovery.rs
+++ b/crates/rig/src/soak/discovery.rs
@@ -222,9 +222,11 @@
             true => (now - 1, self.discovery.truth().list(now - 1)),
             false => (now, list),
         };
-        let id = if self.happens(faults.other_id) { id.wrapping_add(1) } else { id };
+        let other_id = self.happens(faults.other_id);
+        let id = if other_id { id.wrapping_add(1) } else { id };
         let mut message = list_answer(id, serial.saturating_sub(faults.numbers_back).max(1), &list);
-        let mut whole = true;
+        // Under another id it is nobody's answer: it tells nothing.
+        let mut whole = !other_id;
         if self.happens(faults.failed) {
             message.metadata.response_code = ResponseCode::ServFail;
             whole = false;
--- a/crates/rig/src/soak/judge.rs
+++ b/crates/rig/src/soak/judge.rs
@@ -207,7 +207,16 @@
                 let late = arrival.at.saturating_duration_since(told);
                 let allowed = DRAIN_GRACE + RULE_SLACK + self.lateness.within(told, arrival.at);
                 if late > allowed {
-                    add(Invariant::DrainKept, format!("{where_}, {late:?} after that counts as told"));
+                    let when = self
+                        .departures
+                        .iter()
+                        .find(|of| of.engine == arrival.engine)
+                        .map(|of| self.at(of.at));
+                    let told = self.at(told);
+                    let what = format!(
+                        "{where_}, {late:?} after that counts as told (drained {when:?}, told {told})"
+                    );
+                    add(Invariant::DrainKept, what);
                 }
             }
             let Some(before) = number.checked_sub(1).map(|before| arrivals[before]) else { continue };
