--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -646,10 +646,14 @@
     /// aborted, and what could not end by then is turned away instead of being begun. Then it accepts no more, answers what had
     /// been accepted, shuts its connections for writing, reads them out and closes.
     pub async fn shut_down(self) {
-        let began = Instant::now();
-        slog::info!(self.core.log, "closing");
+        // Told while this process stood still, it may have been told when that began.
+        let now = Instant::now();
+        self.core.standstill.works(now);
+        let waited = self.core.standstill.waited(now);
+        let began = now.checked_sub(waited).unwrap_or(now);
+        slog::info!(self.core.log, "closing"; "waited_ms" => waited.as_millis() as u64);
         let within = LEAVE_AT_LEAST.max(self.leave_within + LEAVE_SLACK);
-        self.core.input(Input::Closing(self.core.clock.now() + within));
+        self.core.input(Input::Closing((self.core.clock.now() + within).saturating_sub(waited)));
         let left = || within.saturating_sub(began.elapsed());
         self.quiet(LEAVE_AT_LEAST / 3, |_| began.elapsed() >= LEAVE_AT_LEAST, left).await;
         self.front.stop_accepting();
--- a/crates/rig/src/soak/gateways.rs
+++ b/crates/rig/src/soak/gateways.rs
@@ -118,6 +118,11 @@
         self.earlier.iter().chain([&self.outlet]).flat_map(Outlet::told).collect()
     }
 
+    /// When the faults of its outlets changed.
+    pub fn name_changes(&self) -> Vec<Instant> {
+        self.earlier.iter().chain([&self.outlet]).flat_map(Outlet::changes).collect()
+    }
+
     pub fn set_phase(&self, phase: Phase) {
         *self.phase.lock().expect("phase") = phase;
     }
--- a/crates/rig/tests/pauses.rs
+++ b/crates/rig/tests/pauses.rs
@@ -2,7 +2,7 @@
 
 use bramblewharf_rig::soak::engine::Mode;
 use bramblewharf_rig::soak::faults::Fault;
-use bramblewharf_rig::soak::gateways::Gateway;
+use bramblewharf_rig::soak::gateways::{Exit, Gateway};
 use bramblewharf_rig::soak::Fleet;
 use bramblewharf_standins::read_message;
 use serde_json::Value;
@@ -60,3 +60,23 @@
     };
     assert!(last.0.contains(" 200 ") && last.1["values"].is_array(), "{last:?}");
 }
+
+/// SIGTERM comes while the process is stopped, and SIGKILL at its time all the same.
+#[test]
+fn a_process_told_to_end_during_a_pause_ends_within_its_time() {
+    let program = Path::new(env!("CARGO_BIN_EXE_bramblewharf-rig"));
+    let mut fleet = Fleet::start(1, 2, 2, program).unwrap();
+    let clients = vec![fleet.clients(0, 8, 20 * MS)];
+    fleet.run(500 * MS).unwrap();
+    fleet.gateways[0].stop();
+    fleet.run(100 * MS).unwrap();
+    fleet.gateways[0].terminate();
+    fleet.run(1500 * MS).unwrap();
+    fleet.gateways[0].go_on();
+    fleet.run(3000 * MS).unwrap();
+    let records = fleet.finish(clients).unwrap();
+    let first = records.gateways[0].lives[0].ended.map(|(_, exit)| exit);
+    assert_eq!(first, Some(Exit::Terminated(Some(0))));
+    let found: Vec<String> = records.judge().iter().map(ToString::to_string).collect();
+    assert!(found.is_empty(), "{found:#?}");
+}
