A socket to the name service that fails is dropped; errors are not read in a loop

Found on reading once more: Sockets::hear read on after an error, and one that lasts would have held the thread. The failing socket is dropped now, the next question makes a fresh one.

--- a/crates/gateway/src/names/sockets.rs
+++ b/crates/gateway/src/names/sockets.rs
@@ -56,18 +56,14 @@
     pub async fn hear(&mut self, bytes: &mut [u8]) -> usize {
         std::future::poll_fn(|cx| {
             for at in (0..self.open.len()).rev() {
-                // An error says that nobody listened there, and is consumed; what follows is looked for at once.
-                loop {
-                    let mut read = ReadBuf::new(bytes);
-                    match self.open[at].poll_recv(cx, &mut read) {
-                        Poll::Ready(Ok(())) => {
-                            let length = read.filled().len();
-                            let heard = self.open.remove(at);
-                            self.open.extend(heard);
-                            return Poll::Ready(length);
-                        }
-                        Poll::Ready(Err(_)) => {}
-                        Poll::Pending => break,
+                let mut read = ReadBuf::new(bytes);
+                let came = self.open[at].poll_recv(cx, &mut read).map_ok(|()| read.filled().len());
+                if let Poll::Ready(came) = came {
+                    let socket = self.open.remove(at);
+                    // One that fails, as nobody listened there, is not asked by again.
+                    if let Ok(length) = came {
+                        self.open.extend(socket);
+                        return Poll::Ready(length);
                     }
                 }
             }
