Known failures: what a killed gateway sent and is read late; two tests under load

what_a_killed_gateway_sent_counts_until_engines_can_not_begin_it_any_more fails: 27 of 24 in use. The process after a killed one has its floor, and others its leave, engines_keep after it is back; a relay that holds what the dead one sent (Streams::Held) passes it on later. Not mended: the longer bound would leave each gateway without its floor for 30 s after a restart where statements may take 25 s.

A rig's fleet now shows each gateway's figures where something never comes: open 0 to 2, nearly all refused for want of leave, most executions timed out. Engines in the test's own process answer later than statements may take.

Both tests stay as they are.

--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -164,6 +164,8 @@
     Well,
     /// Open, and silent.
     Silent,
+    /// Connections that were open by then are silent, new ones are well.
+    Held,
     /// New connections are refused, and those that are open reset.
     Gone,
 }
@@ -174,6 +176,8 @@
     /// Connections that came, whatever became of them.
     pub came: Arc<AtomicU64>,
     state: Arc<Mutex<Streams>>,
+    /// How often the state has changed.
+    changes: Arc<AtomicU64>,
     over: Arc<AtomicBool>,
 }
 
@@ -185,6 +189,8 @@
         let (of, ends) = (state.clone(), over.clone());
         let came = Arc::new(AtomicU64::new(0));
         let counts = came.clone();
+        let changes = Arc::new(AtomicU64::new(0));
+        let changed = changes.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 if ends.load(Ordering::SeqCst) {
@@ -205,16 +211,19 @@
                 for (from, into) in [(&stream, &other), (&other, &stream)] {
                     let (Ok(from), Ok(into)) = (from.try_clone(), into.try_clone()) else { continue };
                     let (state, over) = (state.clone(), over.clone());
-                    std::thread::spawn(move || pass(from, into, &state, &over));
+                    let (opened, changed) = (changed.load(Ordering::SeqCst), changed.clone());
+                    let was_open = move || opened < changed.load(Ordering::SeqCst);
+                    std::thread::spawn(move || pass(from, into, &state, &was_open, &over));
                 }
             }
         });
-        Ok(TcpRelay { address, came, state, over })
+        Ok(TcpRelay { address, came, state, changes, over })
     }
 
     pub fn set(&self, state: Streams) {
         if let Ok(mut now) = self.state.lock() {
             *now = state;
+            self.changes.fetch_add(1, Ordering::SeqCst);
         }
     }
 }
@@ -236,7 +245,14 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
-fn pass(mut from: TcpStream, mut into: TcpStream, state: &Mutex<Streams>, over: &AtomicBool) {
+/// `was_open`: whether this connection was open when the state changed last.
+fn pass(
+    mut from: TcpStream,
+    mut into: TcpStream,
+    state: &Mutex<Streams>,
+    was_open: &dyn Fn() -> bool,
+    over: &AtomicBool,
+) {
     let mut bytes = [0; 16 * 1024];
     let _ = from.set_read_timeout(Some(LOOK));
     while !over.load(Ordering::SeqCst) {
@@ -247,7 +263,8 @@
                 return;
             }
             Streams::Silent => std::thread::sleep(LOOK),
-            Streams::Well => match from.read(&mut bytes) {
+            Streams::Held if was_open() => std::thread::sleep(LOOK),
+            Streams::Well | Streams::Held => match from.read(&mut bytes) {
                 Ok(0) => {
                     let _ = into.shutdown(Shutdown::Write);
                     return;
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -533,8 +533,11 @@
         let shown = (0..self.plan.gateways).map(|at| {
             let status = self.status(at);
             let there = self.gateways[at].child.is_some();
+            let log = self.log(at);
+            // What its statements came to, as it counts that itself every ten seconds.
+            let figures = log.lines().rev().find(|line| line.contains("figures")).unwrap_or("no figures yet");
             format!(
-                "\n{at}: there {there}, has {}, seat {}, asks {}",
+                "\n{at}: there {there}, has {}, seat {}, asks {}\n   {figures}",
                 self.has(at),
                 status["seat"],
                 status["asks_seat"]
--- a/crates/rig/tests/processes.rs
+++ b/crates/rig/tests/processes.rs
@@ -268,6 +268,27 @@
     }
 }
 
+/// The same while the gateway that sent it is killed: what it had is given to others, and to the process after it, once engines have ended
+/// what nobody asks for; one of them has not read it yet.
+#[test]
+fn what_a_killed_gateway_sent_counts_until_engines_can_not_begin_it_any_more() {
+    let mut world = world(Plan { lasts: 500 * MS, ..Plan::default() });
+    let _clients = crowd(&world);
+    let last = world.plan.gateways - 1;
+    for _ in 0..3 {
+        wait_full(&world);
+        world.set_engines(last, Streams::Silent);
+        std::thread::sleep(450 * MS);
+        world.kill(last);
+        world.set_engines(last, Streams::Held);
+        world.start(last).unwrap();
+        std::thread::sleep(1600 * MS);
+        world.set_engines(last, Streams::Well);
+        std::thread::sleep(700 * MS);
+        world.check();
+    }
+}
+
 #[test]
 fn plans_of_fixed_seeds_break_nothing() {
     for seed in [11, 12] {
