A machine that is cut off is told from an engine that does not read

Cause: where one attempt may be out, a statement that went into a cut waited for its engine to show it until its own time was over, though it never came there.

Change: a dial that failed shows a cut. What was sent into a cut is not delivered later, since its connection is reset.

Left: a machine that stands still as a whole, its system too, looks like one that is cut off. A hung process whose accept queue is full does too.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -289,6 +289,9 @@
                     self.count_again();
                     lost |= !started;
                     unread |= !started && matches!(call, Call::Silent);
+                    // No connection comes up to a machine that is cut off: what it had not received is not delivered any more, as its
+                    // connection was reset, and what it had received it has read.
+                    unread &= !matches!(call, Call::NotMade(_));
                     in_a_row += 1;
                     if in_a_row > 1 {
                         sleep(PAUSE).await;
@@ -355,6 +358,7 @@
         let delete = |client: &Client| client.delete(&uri);
         let (began, mut pause, mut arrived) = (Instant::now(), PAUSE, cancel.arrived);
         let (mut answered, mut unanswered): (Option<Instant>, u32) = (None, 0);
+        let (mut cut, mut came_up) = (false, false);
         // An engine may read a cancel before the statement that it is for, which then begins. Where the next attempt waits for this
         // one, it is asked for until it has arrived: a cancel that hits it unseen would hide that.
         let looks_first = self.one_at_a_time && cancel.awaited;
@@ -368,6 +372,10 @@
                 }
             };
             unanswered += u32::from(!matches!(call, Call::Answered(_)));
+            cut |= matches!(call, Call::NotMade(false));
+            came_up |= !matches!(call, Call::NotMade(_) | Call::NoRoom);
+            let reads = matches!(call, Call::Answered(_))
+                && answered.is_some_and(|first| asked >= first + READS_WITHIN);
             match call {
                 Call::Answered(reply) if looks => {
                     arrived = matches!(self.read(&reply), News::None(_) | News::Completed(_));
@@ -375,16 +383,20 @@
                     if arrived {
                         continue;
                     }
+                    if cut && reads {
+                        return AfterCancel::CutOff;
+                    }
                 }
                 Call::Answered(_) if arrived => return AfterCancel::Over,
                 Call::Answered(_) if !cancel.awaited => return AfterCancel::Unread,
-                Call::Answered(_) if answered.is_some_and(|first| asked >= first + READS_WITHIN) => {
-                    return AfterCancel::Settled;
-                }
+                Call::Answered(_) if reads => return AfterCancel::Settled,
                 Call::Answered(_) => drop(answered.get_or_insert_with(Instant::now)),
                 Call::NotMade(true) => return AfterCancel::Gone,
                 // Where second copies are allowed nothing waits for it, and it must not crowd out what does.
                 _ if !self.one_at_a_time && self.connections() >= self.bounds.engines * 3 / 4 => break,
+                _ if looks_first && cut && !came_up && began.elapsed() >= CANCEL_WITHIN => {
+                    return AfterCancel::CutOff;
+                }
                 _ => {}
             }
             sleep(if answered.is_some() { READS_WITHIN } else { pause }).await;
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -130,6 +130,9 @@
     Settled,
     /// The engine refused the connection: its process is gone.
     Gone,
+    /// No connection came up to the engine's machine, for as long as an engine goes on with what nobody asks for, or until it answered
+    /// again and did not have it: it was cut off, and what it had not received by then it does not receive any more.
+    CutOff,
     /// The engine did not answer.
     Unknown,
 }
@@ -750,13 +753,13 @@
     fn stopped(&mut self, now: Duration, id: &Id, execution: usize, after: AfterCancel) {
         let remains = match after {
             AfterCancel::Over | AfterCancel::Settled => Remains::Nothing,
-            AfterCancel::Gone => Remains::UntilForgotten,
+            AfterCancel::Gone | AfterCancel::CutOff => Remains::UntilForgotten,
             AfterCancel::Unread | AfterCancel::Unknown => Remains::Unheard,
         };
         let stopping = self.out(id, execution).and_then(|x| x.stopping);
         // A statement that may wait unread at its engine is not over: where one attempt may be out at a time, the next would go out
         // beside it as soon as that engine reads on, however long it took. Only its own time ends the wait.
-        let over = matches!(after, AfterCancel::Over | AfterCancel::Gone);
+        let over = matches!(after, AfterCancel::Over | AfterCancel::Gone | AfterCancel::CutOff);
         match stopping {
             Some(outcome) if over => self.end(now, id, execution, outcome.into(), remains),
             Some(_) => {}
--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -499,6 +499,7 @@
         (AfterCancel::Settled, Some(ms(0))),
         // Its process is gone, or something refuses in its place: what had begun ends unasked.
         (AfterCancel::Gone, Some(KEEP + ms(220))),
+        (AfterCancel::CutOff, Some(KEEP + ms(220))),
         (AfterCancel::Unread, None),
         (AfterCancel::Unknown, None),
     ] {
@@ -550,6 +551,7 @@
     for (after, again) in [
         (AfterCancel::Over, true),
         (AfterCancel::Gone, true),
+        (AfterCancel::CutOff, true),
         (AfterCancel::Unread, false),
         (AfterCancel::Settled, false),
         (AfterCancel::Unknown, false),
--- a/crates/rig/src/soak/client.rs
+++ b/crates/rig/src/soak/client.rs
@@ -274,7 +274,7 @@
             return Call::Ended;
         }
         match connection.fill_buf() {
-            Ok(bytes) if bytes.is_empty() => return Call::Ended,
+            Ok([]) => return Call::Ended,
             Ok(_) => break,
             Err(e) if !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Call::Ended,
             Err(_) if Instant::now() >= until => return Call::TimeOver,
