--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -163,6 +163,7 @@
                     report.requests, report.served, report.refused, report.attempts, report.worst_lateness, report.broken()
                 );
                 report.violations.iter().take(12).for_each(|violation| println!("  {violation}"));
+                report.traces.iter().for_each(|line| println!("      {line}"));
                 if !report.violations.is_empty() {
                     broken += 1;
                     report.plan.iter().for_each(|(at, fault)| println!("    {at:?} {fault:?}"));
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -30,6 +30,10 @@
 /// Faults heal within this after the last one began, and the fleet serves for so long afterwards.
 const HEALS_WITHIN: Duration = Duration::from_secs(5);
 
+/// Digits of a request's id, and the most lines of logs that a report holds.
+const ID_LENGTH: usize = 16;
+const MOST_TRACED: usize = 200;
+
 /// The size of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -54,6 +58,8 @@
     pub attempts: usize,
     pub violations: Vec<Violation>,
     pub worst_lateness: Duration,
+    /// What gateways logged of the requests that violations name; with `BRAMBLEWHARF_LOG=debug` each step of them.
+    pub traces: Vec<String>,
     /// What was done to the fleet.
     pub plan: Plan,
 }
@@ -336,6 +342,7 @@
 }
 
 fn report(seed: u64, records: &Records, plan: Plan) -> Report {
+    let violations = records.judge();
     let ended = |wanted: End| records.requests.iter().filter(|request| request.end == wanted).count();
     Report {
         seed,
@@ -343,12 +350,21 @@
         served: ended(End::Served),
         refused: ended(End::Refused),
         attempts: records.arrivals.len(),
-        violations: records.judge(),
+        traces: traces(records, &violations),
+        violations,
         worst_lateness: records.lateness.worst(),
         plan,
     }
 }
 
+/// The lines of the gateways' logs that name a request of a violation.
+fn traces(records: &Records, violations: &[Violation]) -> Vec<String> {
+    let ids: Vec<&str> = violations.iter().filter_map(|violation| violation.what.split(' ').next()).collect();
+    let logs = records.gateways.iter().flat_map(|gateway| gateway.log.lines());
+    let names_one = |line: &&str| ids.iter().any(|id| id.len() == ID_LENGTH && line.contains(id));
+    logs.filter(names_one).take(MOST_TRACED).map(str::to_string).collect()
+}
+
 impl Report {
     /// How often each invariant was broken.
     pub fn broken(&self) -> BTreeMap<judge::Invariant, usize> {
