Soak: ids are a run's own; statements that no client of a run sent are counted

Runs side by side numbered their requests alike, and engines of one may get an address that another's had: a statement of the other run then counts as an attempt of this one.

Ids are a run's own now, and the report counts statements that no client of the run sent.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -159,8 +159,8 @@
         match soak::run(seed, size, &program) {
             Ok(report) => {
                 println!(
-                    "seed {seed}: {} requests, {} served, {} refused, {} attempts, machine late by {:?} at most, broken: {:?}",
-                    report.requests, report.served, report.refused, report.attempts, report.worst_lateness, report.broken()
+                    "seed {seed}: {} requests, {} served, {} refused, {} attempts ({} of strangers), machine late by {:?} at most, broken: {:?}",
+                    report.requests, report.served, report.refused, report.attempts, report.strangers, report.worst_lateness, report.broken()
                 );
                 report.violations.iter().take(12).for_each(|violation| println!("  {violation}"));
                 report.traces.iter().for_each(|line| println!("      {line}"));
--- a/crates/rig/src/soak/judge.rs
+++ b/crates/rig/src/soak/judge.rs
@@ -4,7 +4,7 @@
 use super::discovery::{Departure, Told};
 use super::engine::{Arrival, Ended};
 use super::gateways::{Exit, Life};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -128,6 +128,12 @@
         found
     }
 
+    /// Statements that came to an engine and that no client here sent.
+    pub fn strangers(&self) -> usize {
+        let requests: HashSet<&str> = self.requests.iter().map(|request| request.id.as_str()).collect();
+        self.arrivals.iter().filter(|arrival| !requests.contains(arrival.id.as_str())).count()
+    }
+
     fn at(&self, at: Instant) -> String {
         format!("{:.3}", at.saturating_duration_since(self.began).as_secs_f64())
     }
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -56,6 +56,9 @@
     pub served: usize,
     pub refused: usize,
     pub attempts: usize,
+    /// Statements that came to an engine and that no client of this run sent: from another run beside it, whose engine had had the
+    /// address before.
+    pub strangers: usize,
     pub violations: Vec<Violation>,
     pub worst_lateness: Duration,
     /// What gateways logged of the requests that violations name; with `BRAMBLEWHARF_LOG=debug` each step of them.
@@ -114,7 +117,7 @@
             lateness: Arc::default(),
             over: Arc::default(),
             began: Instant::now(),
-            ids: Arc::new(AtomicU64::new(1)),
+            ids: Arc::new(AtomicU64::new(first_id())),
             _dir: dir,
         };
         for place in 0..engines {
@@ -350,6 +353,7 @@
         served: ended(End::Served),
         refused: ended(End::Refused),
         attempts: records.arrivals.len(),
+        strangers: records.strangers(),
         traces: traces(records, &violations),
         violations,
         worst_lateness: records.lateness.worst(),
@@ -357,6 +361,11 @@
     }
 }
 
+/// Requests of runs side by side have different ids.
+fn first_id() -> u64 {
+    (u64::from(std::process::id()) << 32) + 1
+}
+
 /// The lines of the gateways' logs that name a request of a violation.
 fn traces(records: &Records, violations: &[Violation]) -> Vec<String> {
     let ids: Vec<&str> = violations.iter().filter_map(|violation| violation.what.split(' ').next()).collect();
