Soak: an engine that has ended reads nothing any more

Cause, from the log: the gateway was refused by the first engine ('attempt given up, engine told, after: Gone'), which had drained and ended; 0.86 s later that engine's own thread, which held the statement back as a late reader, began it.

Change: a connection's thread ends with its engine. The check stays as it is.

--- a/crates/rig/src/soak/engine.rs
+++ b/crates/rig/src/soak/engine.rs
@@ -119,8 +119,8 @@
                 if let Ok(stream) = stream.try_clone() {
                     lock(&state).connections.push(stream);
                 }
-                let (id, state) = (id.clone(), state.clone());
-                std::thread::spawn(move || serve(&id, &stream, &state));
+                let (id, state, over) = (id.clone(), state.clone(), over.clone());
+                std::thread::spawn(move || serve(&id, &stream, &state, &over));
             }
         });
         Ok(engine)
@@ -160,7 +160,7 @@
     state.lock().expect("state")
 }
 
-fn serve(engine: &str, stream: &TcpStream, state: &Mutex<State>) {
+fn serve(engine: &str, stream: &TcpStream, state: &Mutex<State>, over: &AtomicBool) {
     let _ = stream.set_nodelay(true);
     let Ok(read) = stream.try_clone() else { return };
     let mut read = BufReader::new(read);
@@ -171,6 +171,10 @@
         };
         let came = Instant::now();
         wait_to_read(is_statement, came, state);
+        // A process that has ended reads nothing any more.
+        if over.load(Ordering::SeqCst) {
+            return;
+        }
         let at = Instant::now();
         let Some((first, fields, body)) = read_message(&mut read) else { return };
         let mut words = first.split(' ');
