--- a/crates/budgets/src/usage.rs
+++ b/crates/budgets/src/usage.rs
@@ -6,7 +6,7 @@
 
 use crate::scope::ENGINES;
 use crate::{Budget, Claim, Measure, Patience, GRAIN};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -132,6 +132,8 @@
     /// What may run on unheard, the first to end first; emptied as that clock passes.
     lingering: BTreeMap<Lingering, Took>,
     numbered: u64,
+    /// Of what lingers, what processes before this one sent.
+    inherited: BTreeSet<Lingering>,
     told_at: Duration,
 }
 
@@ -154,7 +156,41 @@
         let rows = budgets.into_iter().map(row).collect();
         let mut clock = Patience::default();
         let _ = clock.look(now, false);
-        Usage { rows, clock, floor_from: floor_after, lingering: BTreeMap::new(), numbered: 0, told_at: now }
+        Usage {
+            rows,
+            clock,
+            floor_from: floor_after,
+            lingering: BTreeMap::new(),
+            numbered: 0,
+            inherited: BTreeSet::new(),
+            told_at: now,
+        }
+    }
+
+    /// More is known of what processes before us may have out: the floors are ours so much later, if not before.
+    pub fn floors_after(&mut self, now: Duration, span: Duration) {
+        self.pass(now);
+        self.floor_from = self.floor_from.min(self.clock.now() + span);
+    }
+
+    /// A process before us sent what may yet run, or begin, for so long: it is in use as what we sent ourselves.
+    pub fn inherit(&mut self, now: Duration, took: Took, span: Duration) -> Option<Lingering> {
+        self.took(now, &took);
+        let name = self.ended(now, took, Some(span));
+        self.inherited.extend(name);
+        name
+    }
+
+    /// By budget, what is in use beyond the floors of what processes before us sent.
+    pub fn inherited_beyond_floors(&mut self, now: Duration) -> Vec<u64> {
+        self.pass(now);
+        let mut sums = vec![0u64; self.rows.len()];
+        for (at, takes) in self.inherited.iter().filter_map(|name| self.lingering.get(name)).flatten() {
+            if let Some(row) = self.rows.get(*at).filter(|row| row.budget.measure.is_at_once()) {
+                sums[*at] += takes.min(&row.budget.whole);
+            }
+        }
+        sums.iter().zip(&self.rows).map(|(sum, row)| sum.saturating_sub(row.floor)).collect()
     }
 
     /// Leave as it was given: grains by budget, and when all of it ends. Less than before takes hold at once, what runs runs on.
@@ -203,16 +239,26 @@
         Some(name)
     }
 
-    /// More is known of what may run on unheard: for how long it still may, if at all. It never counts for longer than before.
-    pub fn settle(&mut self, now: Duration, name: Lingering, unheard: Option<Duration>) {
+    /// More is known of what may run on unheard: for how long it still may, if at all. It never counts for longer than before,
+    /// and has another name then.
+    pub fn settle(&mut self, now: Duration, name: Lingering, unheard: Option<Duration>) -> Option<Lingering> {
         self.pass(now);
-        let Some(took) = self.lingering.remove(&name) else { return };
+        let took = self.lingering.remove(&name)?;
         match unheard {
             Some(span) => {
                 let until = name.until.min(self.clock.now() + span);
-                self.lingering.insert(Lingering { until, ..name }, took);
+                let shorter = Lingering { until, ..name };
+                if self.inherited.remove(&name) {
+                    self.inherited.insert(shorter);
+                }
+                self.lingering.insert(shorter, took);
+                Some(shorter)
+            }
+            None => {
+                self.inherited.remove(&name);
+                self.free(&took);
+                None
             }
-            None => self.free(&took),
         }
     }
 
@@ -306,7 +352,8 @@
         Room { left, also: None }
     }
 
-    fn has_floors(&self) -> bool {
+    /// Whether the floors are ours.
+    pub fn has_floors(&self) -> bool {
         self.clock.now() >= self.floor_from
     }
 
@@ -333,7 +380,8 @@
         }
         let patient = self.clock.now();
         while let Some(entry) = self.lingering.first_entry().filter(|entry| entry.key().until <= patient) {
-            let took = entry.remove();
+            let (name, took) = entry.remove_entry();
+            self.inherited.remove(&name);
             self.free(&took);
         }
         for row in &mut self.rows {
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -199,6 +199,11 @@
         (self.session != 0).then_some((self.seat, self.number, message))
     }
 
+    /// What the keeper gave this process to show that it is there.
+    pub fn session(&self) -> u64 {
+        self.session
+    }
+
     /// The seat that was asked last.
     pub fn seat(&self) -> u8 {
         self.seat
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -263,10 +263,11 @@
             return;
         }
         if let Some(before) = seat.entry.take() {
-            // One process at a time has a place, so that one is no more; what it had running at engines may go on.
+            // One process at a time has a place, so that one is no more; what it had running at engines may go on, and what they have
+            // not read may begin. The process after it says when that is over (`succeeds`).
             let ends = match self.terms.is_wrong(Wrong::FreeAtTheKill) {
                 true => now,
-                false => (now + self.terms.ghost()).min(before.heard + self.terms.until_free()),
+                false => before.heard + self.terms.until_free(),
             };
             self.ghosts.push(Ghost { place, ends, given: before.given });
             seat.former.push(before.incarnation);
@@ -297,6 +298,42 @@
         }
     }
 
+    /// A process says how much of what those before it at its place had is in use yet. The answer: who they were.
+    pub fn succeeds(
+        &mut self,
+        place: u32,
+        from: Incarnation,
+        number: u64,
+        session: u64,
+        rest: Option<Vec<u64>>,
+    ) -> Option<Message> {
+        let seat = self.places.get(&place)?;
+        let entry = seat.entry.as_ref()?;
+        if entry.incarnation != from || entry.session != session {
+            self.counts.old += 1;
+            return None;
+        }
+        let former = seat.former.clone();
+        if let Some(rest) = rest.filter(|rest| rest.len() == self.budgets.len()) {
+            self.shrink_ghosts(place, rest);
+        }
+        Some(Message::Former { number, of: from, former })
+    }
+
+    /// What processes that are no more have in use at a place is no more than that together.
+    fn shrink_ghosts(&mut self, place: u32, mut rest: Vec<u64>) {
+        for ghost in self.ghosts.iter_mut().filter(|ghost| ghost.place == place) {
+            for (at, given) in ghost.given.iter_mut().enumerate() {
+                let kept = (*given).min(rest[at]);
+                rest[at] -= kept;
+                self.out[at] -= *given - kept;
+                *given = kept;
+            }
+        }
+        self.ghosts.retain(|ghost| ghost.given.iter().any(|given| *given > 0));
+        self.stale = true;
+    }
+
     /// What is free of a budget's pool.
     fn free(&self, at: usize) -> u64 {
         debug_assert_eq!(
@@ -397,7 +434,8 @@
         self.out.iter_mut().zip(free).for_each(|(out, free)| *out -= free);
         entry.given.iter_mut().for_each(|given| *given = 0);
         if rest.iter().any(|rest| *rest > 0) {
-            let ends = now + self.terms.longer(self.terms.run_out);
+            // Of that some may not have been read yet, and began no later than what a silent gateway has.
+            let ends = now + self.terms.until_free();
             self.ghosts.push(Ghost { place, ends, given: rest });
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,12 +1,14 @@
 //! What gateways of one fleet agree on, without I/O or a clock: `(state, input, now) -> effects`.
 //!
 //! `seat`: the few that agree on who keeps the leave, by leases of a majority, with nothing on disk. `keeper`: who has leave of
-//! which budget, how much and until when; who is a member. `holder`: how a gateway asks for its leave. `node` puts them
-//! together, `wire` writes and reads what they say to one another. Why it is so: `docs/design/fleet.md`.
+//! which budget, how much and until when; who is a member. `holder`: how a gateway asks for its leave. `outstanding`: what a gateway has out
+//! at engines, for the process after it, and `predecessor`: what a process knows of the one before. `node` puts them together, `wire` writes and reads what they say to one another. Why it is so: `docs/design/fleet.md`.
 
 pub mod holder;
 pub mod keeper;
 pub mod node;
+pub mod outstanding;
+pub mod predecessor;
 pub mod seat;
 pub mod wire;
 
@@ -52,6 +54,8 @@
     NoWaitingOut,
     /// What a killed gateway had is free when its place is back.
     FreeAtTheKill,
+    /// A process takes what the one before it had out for over, though no engine has been heard and no record read.
+    SettledUnheard,
     /// A seat that has just started votes at once.
     VotesUnknowing,
     /// An answer to an earlier question counts too.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -2,9 +2,11 @@
 
 use crate::holder::{self, Holder};
 use crate::keeper::{self, Keeper, Member};
+use crate::outstanding::Outstanding;
+use crate::predecessor::{Predecessor, Succession};
 use crate::seat::{Right, Say, Seat};
 use crate::wire::{Envelope, Message, Party};
-use crate::{Incarnation, Terms};
+use crate::{Incarnation, Terms, Wrong};
 use bramblewharf_budgets::usage::{Figures, Lingering, Took};
 use bramblewharf_budgets::{Budget, Claim, Room, Usage};
 use std::net::SocketAddr;
@@ -93,6 +95,7 @@
     holder: Holder,
     seat: Option<Seat>,
     keeper: Option<Keeper>,
+    succession: Succession,
     said: u64,
     keepers: u64,
     /// Messages that say nothing to us.
@@ -102,24 +105,62 @@
 }
 
 impl Node {
+    /// After a process whose engines have read all that it sent.
     pub fn start(start: Start, now: Duration) -> Node {
+        Node::start_after(start, Predecessor::Ended, now).0
+    }
+
+    /// With what is known of the process before, and the names of what it had out, which counts as in use until settled.
+    pub fn start_after(
+        start: Start,
+        predecessor: Predecessor,
+        now: Duration,
+    ) -> (Node, Vec<(Outstanding, Lingering)>) {
         let terms = start.terms.clone();
-        let usage = Usage::new(start.budgets.clone(), terms.places, terms.ghost(), now);
+        let mistaken = terms.is_wrong(Wrong::SettledUnheard) || terms.is_wrong(Wrong::FreeAtTheKill);
+        let predecessor = if mistaken { Predecessor::Ended } else { predecessor };
+        let floor_after = match predecessor {
+            _ if terms.is_wrong(Wrong::FreeAtTheKill) => Duration::ZERO,
+            Predecessor::Ended => terms.ghost(),
+            Predecessor::Unknown | Predecessor::Recorded(_) => terms.unheard(),
+        };
+        let mut usage = Usage::new(start.budgets.clone(), terms.places, floor_after, now);
+        let outstanding = match &predecessor {
+            Predecessor::Recorded(record) => record.outstanding.clone(),
+            Predecessor::Ended | Predecessor::Unknown => Vec::new(),
+        };
+        let mut inherit = |outstanding: Outstanding| {
+            let name = usage.inherit(now, outstanding.took.clone(), terms.unheard())?;
+            Some((outstanding, name))
+        };
+        let inherited = outstanding.into_iter().filter_map(&mut inherit).collect();
         let seat =
             start.seat.map(|own| Seat::start(own, start.incarnation, terms.clone(), start.seed ^ 1, now));
         let holder = Holder::start(terms, start.table, start.seed ^ 2, now);
-        Node {
+        let node = Node {
             start,
             usage,
             holder,
             seat,
             keeper: None,
+            succession: Succession::start(predecessor),
             said: 0,
             keepers: 0,
             passed_over: 0,
             leaving: false,
             ticked: now,
-        }
+        };
+        (node, inherited)
+    }
+
+    /// Every engine that a process before this one may have sent to has read what it sent, or is gone.
+    pub fn engines_heard(&mut self, now: Duration) {
+        self.usage.floors_after(now, self.start.terms.ghost());
+    }
+
+    /// Whether all that may be out of this place is counted in use here.
+    pub fn counts_all(&self) -> bool {
+        self.succession.is_complete()
     }
 
     /// When it wants to be called again.
@@ -141,6 +182,9 @@
         }
         self.keep(now);
         self.usage.look(now);
+        if self.usage.has_floors() {
+            self.succession.completed();
+        }
         if self.holder.look(now) {
             self.usage.drop_leave(now);
             effects.push(Effect::Room);
@@ -176,7 +220,10 @@
                 }
                 None => self.passed_over += 1,
             },
-            (Party::Place(place), message @ (Message::Ask(_) | Message::Leaving { .. })) => {
+            (
+                Party::Place(place),
+                message @ (Message::Ask(_) | Message::Leaving { .. } | Message::Succeeds { .. }),
+            ) => {
                 let answer = self.asked(now, place, envelope.incarnation, envelope.number, message);
                 if let Some(message) = answer {
                     let envelope = self.envelope(message);
@@ -222,6 +269,9 @@
         };
         match (&mut self.keeper, message) {
             (Some(keeper), Message::Ask(ask)) => keeper.ask(place, from, number, ask),
+            (Some(keeper), Message::Succeeds { session, rest }) => {
+                keeper.succeeds(place, from, number, session, rest)
+            }
             (Some(keeper), Message::Leaving { session, holds }) => {
                 keeper.leaving(place, from, number, session, &holds);
                 None
@@ -235,15 +285,52 @@
     }
 
     fn answered(&mut self, now: Duration, seat: u8, message: Message, effects: &mut Vec<Effect>) {
+        if let Message::Former { number, of, former } = message {
+            return self.heard_of_former(now, number, of, &former, effects);
+        }
         if self.holder.heard(now, seat, message) {
             if let Some(leave) = self.holder.leave(now) {
                 let (amounts, until) = (leave.amounts.clone(), leave.until);
                 self.usage.lease(now, &amounts, until);
                 effects.push(Effect::Room);
+                self.tell_succession(now, seat, effects);
             }
         }
     }
 
+    /// Whoever keeps this gateway's leave hears what is left of processes before it, until that is nothing.
+    fn tell_succession(&mut self, now: Duration, seat: u8, effects: &mut Vec<Effect>) {
+        if !self.succession.has_news() {
+            return;
+        }
+        let rest = self.succession.is_complete().then(|| self.usage.inherited_beyond_floors(now));
+        let number = self.succession.ask(rest.as_ref());
+        let session = self.holder.session();
+        self.ask_seat(now, seat, number, Message::Succeeds { session, rest }, effects);
+    }
+
+    fn heard_of_former(
+        &mut self,
+        now: Duration,
+        number: u64,
+        of: Incarnation,
+        former: &[Incarnation],
+        effects: &mut Vec<Effect>,
+    ) {
+        if of != self.start.incarnation || !self.succession.is_last(number) {
+            self.passed_over += 1;
+            return;
+        }
+        self.succession.answered();
+        if self.succession.heard(former) {
+            // What is out is counted: the rest of the floors is ours.
+            self.usage.floors_after(now, Duration::ZERO);
+            effects.push(Effect::Room);
+            let seat = self.holder.seat();
+            self.tell_succession(now, seat, effects);
+        }
+    }
+
     fn ask_seat(
         &mut self,
         now: Duration,
@@ -323,10 +410,10 @@
         self.usage.ended(now, took, span)
     }
 
-    /// More is known of what remains of an execution.
-    pub fn settle(&mut self, now: Duration, name: Lingering, remains: Remains) {
+    /// More is known of what remains of an execution: its name from now on, while it counts.
+    pub fn settle(&mut self, now: Duration, name: Lingering, remains: Remains) -> Option<Lingering> {
         let span = self.span(remains);
-        self.usage.settle(now, name, span);
+        self.usage.settle(now, name, span)
     }
 
     /// For how long what remains of an execution is counted.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -96,6 +96,18 @@
     },
     /// Of the fleet's policy, as its own part writes and reads it.
     Policy(Vec<u8>),
+    /// A gateway asks who was at its place before, and says what is in use yet of their leave; none: it can't tell.
+    Succeeds {
+        session: u64,
+        rest: Option<Vec<u64>>,
+    },
+    /// Processes that were at that place, the latest last, by this keeper's book.
+    Former {
+        number: u64,
+        /// Whom this answers.
+        of: Incarnation,
+        former: Vec<Incarnation>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -403,6 +403,26 @@
         answered.map_or(AfterCancel::Unknown, |_| AfterCancel::Unread)
     }
 
+    /// Whether an engine has read all that was sent to it before, as it answers calls that far apart, or its process is gone. `name`: of
+    /// no statement.
+    pub async fn hear(&self, address: SocketAddr, name: &str, within: Duration) -> bool {
+        let (began, mut unanswered) = (Instant::now(), 0);
+        let mut answered: Option<Instant> = None;
+        while began.elapsed() < within {
+            let asked = Instant::now();
+            match self.get(&mut Way::to(address), name, 0, patience(unanswered)).await {
+                Call::Answered(_) if answered.is_some_and(|first| asked >= first + READS_WITHIN) => {
+                    return true
+                }
+                Call::Answered(_) => drop(answered.get_or_insert_with(Instant::now)),
+                Call::NotMade(true) => return true,
+                _ => unanswered += 1,
+            }
+            sleep(if answered.is_some() { READS_WITHIN } else { PAUSE }).await;
+        }
+        false
+    }
+
     /// An execution whose text broke off, or whose answers are none.
     async fn end_what_is_of_no_use(&self, job: &Job<'_>, id: &str) {
         let cancel = Cancel { arrived: true, within: CANCEL_WITHIN, awaited: self.one_at_a_time };
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -68,6 +68,8 @@
     /// One that never acted by anything then goes by its own file of `policy`.
     #[serde(default)]
     pub policy_alone: bool,
+    /// Where what is out at engines is kept for the process after this one; without it, that process asks all engines first.
+    pub outstanding_file: Option<PathBuf>,
     /// A file that says how things stand, and one that notes every change of what is had.
     pub status: Option<PathBuf>,
     pub facts: Option<PathBuf>,
@@ -134,6 +136,7 @@
     pub key: Key,
     pub listen: SocketAddr,
     pub seats: Vec<SocketAddr>,
+    pub outstanding_file: Option<PathBuf>,
     pub status: Option<PathBuf>,
     pub facts: Option<PathBuf>,
 }
@@ -223,6 +226,7 @@
             key,
             listen: fleet.listen,
             seats: fleet.seats.clone(),
+            outstanding_file: fleet.outstanding_file.clone(),
             status: fleet.status.clone(),
             facts: fleet.facts.clone(),
         }))
--- /dev/null
+++ b/crates/gateway/src/record_file/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+use bramblewharf_fleet::outstanding::Outstanding;
+use bramblewharf_fleet::{Incarnation, Terms};
+use std::time::Duration;
+
+fn log() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
+
+fn start(incarnation: u64) -> node::Start {
+    let second = Duration::from_secs(1);
+    let terms = Terms {
+        fleet: 1,
+        places: 1,
+        seats: 1,
+        lease: second,
+        drift_percent: 1,
+        run_out: second,
+        engines_keep: second,
+        wrong: None,
+    };
+    let incarnation = Incarnation(incarnation);
+    node::Start { place: 0, seat: None, incarnation, terms, budgets: Vec::new(), table: 7, seed: 1 }
+}
+
+fn outstanding() -> Outstanding {
+    let engine = std::net::SocketAddr::from(([127, 0, 0, 1], 80));
+    Outstanding { id: "5e0c61f2a94d7b38".into(), execution: 0, engine, took: vec![(0, 1000)] }
+}
+
+#[test]
+fn the_next_process_finds_what_was_out() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("outstanding");
+    let (predecessor, mut slots) = read(&path, &start(1), &log());
+    assert_eq!(predecessor, Predecessor::Unknown);
+    let file = RecordFile::replace(&path, &[slots.header()]).unwrap();
+    file.write(&slots.add(&outstanding()), &log());
+    let Predecessor::Recorded(record) = read(&path, &start(2), &log()).0 else { panic!("no record") };
+    assert_eq!((record.life.incarnation, record.outstanding), (Incarnation(1), vec![outstanding()]));
+    // One that is cut is none.
+    let bytes = fs::read(&path).unwrap();
+    fs::write(&path, &bytes[..bytes.len() / 2]).unwrap();
+    assert_eq!(read(&path, &start(3), &log()).0, Predecessor::Unknown);
+}
+
+/// Guards against a file that no longer tells all and is taken for whole.
+#[test]
+fn a_file_that_can_not_be_written_is_removed() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("outstanding");
+    let mut slots = read(&path, &start(1), &log()).1;
+    drop(RecordFile::replace(&path, &[slots.header()]).unwrap());
+    // Open for reading alone: each write fails, as on a disk that has become read-only.
+    let file = RecordFile { path: path.clone(), file: RefCell::new(Some(File::open(&path).unwrap())) };
+    file.write(&slots.add(&outstanding()), &log());
+    assert!(!path.exists());
+    file.write(&slots.header(), &log());
+    assert!(!path.exists(), "it stays so");
+    assert!(RecordFile::replace(&dir.path().join("no/folder"), &[]).is_err());
+}
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -1,14 +1,17 @@
 //! The one place where the gateway's state changes: `(state, input, now) -> effects`, without I/O, clock or
 //! await. It owns the decisions, the statements and their executions; the runtime carries out what it asks for.
 
+use crate::hearing::Hearing;
 use crate::invariants::{Broken, Invariant};
 use crate::policy::{Names, Permitted};
+use crate::unsettled::Unsettled;
 use bramblewharf::choice::{Chooser, Refusal, Rule};
 use bramblewharf::interface::*;
 use bramblewharf_bodies::Body;
-use bramblewharf_budgets::usage::Lingering;
 use bramblewharf_budgets::{Claim, Permits};
 use bramblewharf_fleet::node::{self, Node, Remains};
+use bramblewharf_fleet::outstanding::{self, Outstanding, Slots};
+use bramblewharf_fleet::predecessor::Predecessor;
 use bramblewharf_fleet::wire::{Message, Party};
 use bramblewharf_fleet::Envelope;
 use bramblewharf_policy as policy;
@@ -36,8 +39,22 @@
 /// How long an engine is told at the least to end an execution, where it does not answer.
 pub const CANCEL_WITHIN: Duration = Duration::from_millis(2500);
 
-/// Executions that may run unheard are looked through once there are so many more than the budgets count.
-const UNHEARD_KEPT: usize = 64;
+/// How long the keeper's word of the process before is waited for until engines are asked instead.
+const KEEPER_FIRST: Duration = Duration::from_millis(250);
+
+/// A gateway's part in its fleet, after whatever process had its place before.
+pub struct Part {
+    pub start: node::Start,
+    pub predecessor: Predecessor,
+    /// The record of what is out, where one is kept.
+    pub slots: Option<Slots>,
+}
+
+impl From<node::Start> for Part {
+    fn from(start: node::Start) -> Part {
+        Part { start, predecessor: Predecessor::Ended, slots: None }
+    }
+}
 
 /// What goes on unchanged to an engine.
 #[derive(Debug)]
@@ -93,6 +110,10 @@
         execution: usize,
         after: AfterCancel,
     },
+    /// An engine that was to be heard has read all that had been sent to it before, or did not answer.
+    EngineHeard {
+        has_read: bool,
+    },
     Engines(ListKind, Vec<Listed>),
     /// The name service was listened to just now; its last usable answer is to a question of then, where there is a new one.
     ListAsked(Option<Duration>),
@@ -199,6 +220,15 @@
         to: Option<u32>,
         said: Said,
     },
+    /// To be written to the record of what is out before whatever follows.
+    Record(outstanding::Write),
+    /// An engine is to be heard: whether it has read all that was sent to it before.
+    Hear {
+        address: SocketAddr,
+        /// Of no statement.
+        name: Id,
+        within: Duration,
+    },
     /// To be kept before anything that rests on it is said.
     Keep {
         generation: u64,
@@ -326,7 +356,9 @@
     news: VecDeque<Event>,
     effects: Vec<Effect>,
     /// Executions that have ended here and may yet run unheard, while the budgets count them.
-    unheard: HashMap<(Id, usize), Lingering>,
+    unsettled: Unsettled,
+    /// Engines that have yet to show that they have read what a process before this one sent.
+    hearing: Option<Hearing>,
     /// Emptied whenever it is logged.
     ill: BTreeMap<Id, u64>,
     pub counts: Counts,
@@ -340,12 +372,12 @@
 impl Reducer {
     /// `most`: the statements that may be held at once.
     pub fn start(site: Site, seed: u64, most: usize, now: Duration) -> (Reducer, Vec<Effect>) {
-        Reducer::start_in(None, None, site, seed, most, now)
+        Reducer::start_in(None::<Part>, None, site, seed, most, now)
     }
 
     /// In a fleet whose budgets it has a part of.
     pub fn start_in(
-        fleet: Option<node::Start>,
+        fleet: Option<impl Into<Part>>,
         policy: Option<(policy::Start, Arc<Names>)>,
         site: Site,
         seed: u64,
@@ -378,26 +410,51 @@
             effects_of,
             due: BTreeMap::new(),
             dues: 0,
-            room_changed: fleet.is_some(),
+            room_changed: false,
             room_due: None,
             fleet_due: None,
-            fleet: fleet.map(|start| Box::new(Node::start(start, now))),
+            fleet: None,
             threads,
             news: VecDeque::new(),
             effects: Vec::new(),
-            unheard: HashMap::new(),
+            unsettled: Unsettled::default(),
+            hearing: None,
             ill: BTreeMap::new(),
             counts: Counts::default(),
             refusals: BTreeMap::new(),
             refused: Vec::new(),
             broken: Broken::default(),
         };
+        fleet.into_iter().for_each(|part| reducer.join(now, part.into()));
         actions.into_iter().for_each(|action| reducer.act(now, action));
         reducer.settle(now);
         let effects = std::mem::take(&mut reducer.effects);
         (reducer, effects)
     }
 
+    /// Takes its part in the fleet, with what a process before it may have out.
+    fn join(&mut self, now: Duration, part: Part) {
+        let Part { start, predecessor, slots } = part;
+        self.hearing = match predecessor {
+            Predecessor::Ended => None,
+            Predecessor::Unknown => Some(Hearing::start(now)),
+            Predecessor::Recorded(_) => Some(Hearing::start(now + KEEPER_FIRST)),
+        };
+        let (node, inherited) = Node::start_after(start, predecessor, now);
+        self.unsettled = Unsettled::with_record(slots);
+        let writes = self.unsettled.first_writes(&inherited);
+        self.effects.extend(writes.into_iter().map(Effect::Record));
+        let cancel = Cancel { arrived: false, within: node.unheard(), awaited: true };
+        for (Outstanding { id, execution, engine: address, .. }, name) in inherited {
+            let id = Id::from(id);
+            let engine = Id::from(address.to_string());
+            self.unsettled.inherit(id.clone(), execution, name);
+            self.effects.push(Effect::Stop { id, execution, engine, address, cancel });
+        }
+        self.fleet = Some(Box::new(node));
+        self.room_changed = true;
+    }
+
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
         self.refused.clear();
         // First of all: whatever comes is decided by the leave as it is now.
@@ -418,6 +475,7 @@
                 x.into_iter().for_each(|x| x.arrived = true);
             }
             Input::Stopped { id, execution, after } => self.stopped(now, &id, execution, after),
+            Input::EngineHeard { has_read } => self.engine_heard(now, has_read),
             Input::Engines(kind, list) => self.list(kind, list),
             Input::ListAsked(confirmed) => {
                 let before = self.list_times.map_or(now, |(before, _)| before);
@@ -487,10 +545,37 @@
             let said = node.tick(now);
             self.carry_on(now, said);
             self.tick_policy(now);
+            self.look_at_unsettled(now);
         }
         self.tell_room(now);
     }
 
+    /// What can't run any more is dropped, and engines are heard while it is not known what a process before may have out.
+    fn look_at_unsettled(&mut self, now: Duration) {
+        let Some(node) = &self.fleet else { return };
+        self.effects.extend(self.unsettled.look(node).into_iter().map(Effect::Record));
+        if node.counts_all() {
+            self.hearing = None;
+        }
+        let (within, name) = (node.unheard(), Id::from(format!("{:016x}", node.incarnation().0)));
+        let next = self.hearing.as_mut().map(|hearing| hearing.next(now)).unwrap_or_default();
+        let hear = |address| Effect::Hear { address, name: name.clone(), within };
+        self.effects.extend(next.into_iter().map(hear));
+    }
+
+    fn engine_heard(&mut self, now: Duration, has_read: bool) {
+        let (Some(hearing), Some(node)) = (&mut self.hearing, &mut self.fleet) else { return };
+        hearing.heard(has_read);
+        if hearing.is_over() {
+            self.hearing = None;
+            node.engines_heard(now);
+            // The floors are there sooner.
+            self.room_changed = true;
+            self.tell_room(now);
+        }
+        self.look_at_unsettled(now);
+    }
+
     fn tick_policy(&mut self, now: Duration) {
         let (Some(policy), Some(node)) = (&mut self.policy, &self.fleet) else { return };
         if now >= policy.node.due(now) {
@@ -741,7 +826,7 @@
 
     fn cancel_unheard(&self, id: &Id, execution: usize) -> Option<Cancel> {
         let node = self.fleet.as_ref()?;
-        self.unheard.contains_key(&(id.clone(), execution)).then(|| Cancel {
+        self.unsettled.contains(id, execution).then(|| Cancel {
             arrived: false,
             within: node.unheard(),
             awaited: true,
@@ -755,6 +840,11 @@
             AfterCancel::Gone | AfterCancel::CutOff => Remains::UntilForgotten,
             AfterCancel::Unread | AfterCancel::Unknown => Remains::Unheard,
         };
+        let remains = match after {
+            // The connection of a process that was killed was not reset: what the system held of it may yet arrive.
+            AfterCancel::CutOff if self.unsettled.is_inherited(id, execution) => Remains::Unheard,
+            _ => remains,
+        };
         let stopping = self.out(id, execution).and_then(|x| x.stopping);
         // A statement that may wait unread at its engine is not over: where one attempt may be out at a time, the next would go out
         // beside it as soon as that engine reads on, however long it took. Only its own time ends the wait.
@@ -767,21 +857,11 @@
     }
 
     fn settle_unheard(&mut self, now: Duration, id: &Id, execution: usize, remains: Remains) {
-        let name = self.unheard.remove(&(id.clone(), execution));
-        if let (Some(name), Some(node)) = (name, &mut self.fleet) {
-            node.settle(now, name, remains);
-            self.room_changed = true;
-            self.tell_room(now);
-        }
-    }
-
-    /// Keeps what the budgets count of an execution that may run on unheard; bounded by what they count.
-    fn keep_unheard(&mut self, id: &Id, execution: usize, name: Lingering) {
-        let Some(node) = &self.fleet else { return };
-        if self.unheard.len() > 2 * node.lingering() + UNHEARD_KEPT {
-            self.unheard.retain(|_, name| node.lingers(*name));
-        }
-        self.unheard.insert((id.clone(), execution), name);
+        let Some(node) = &mut self.fleet else { return };
+        let Some(write) = self.unsettled.settle(now, node, (id, execution), remains) else { return };
+        self.effects.extend(write.map(Effect::Record));
+        self.room_changed = true;
+        self.tell_room(now);
     }
 
     /// Gives an execution its one outcome; whatever else comes for it is dropped. What may remain of it at its engine counts on.
@@ -804,7 +884,8 @@
         let open = stmt.open.is_some();
         if let Some(node) = self.fleet.as_mut().filter(|_| !parts.is_empty()) {
             let name = node.ended(now, parts, remains);
-            name.into_iter().for_each(|name| self.keep_unheard(id, execution, name));
+            let write = self.unsettled.ended(id, execution, name);
+            self.effects.extend(write.map(Effect::Record));
             self.room_changed = true;
             self.tell_room(now);
         }
@@ -896,6 +977,7 @@
         self.silent = kind == ListKind::Failed;
         self.listed |= kind != ListKind::Failed;
         let entries = list.iter().map(|listed| listed.entry.clone()).collect();
+        self.hearing.iter_mut().for_each(|hearing| hearing.listed(list.iter()));
         for listed in list {
             self.engines.insert(listed.entry.id.clone(), listed);
         }
@@ -991,6 +1073,11 @@
         };
         let at = self.set(now + timeout, Due::Execution(id.clone(), execution));
         let Some(stmt) = self.stmts.get_mut(&id) else { return };
+        if !stmt.takes.is_empty() {
+            let took = stmt.takes.clone();
+            let outstanding = || Outstanding { id: id.to_string(), execution, engine: address, took };
+            self.effects.extend(self.unsettled.sent(outstanding).map(Effect::Record));
+        }
         stmt.executions.push(Execution {
             engine: engine.clone(),
             address,
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -10,7 +10,8 @@
 use crate::operators::{self, Bodies};
 use crate::peers::Peers;
 use crate::policy;
-use crate::reducer::{Answer, Effect, Input, Reducer, Text};
+use crate::record_file::{self, RecordFile};
+use crate::reducer::{Answer, Effect, Input, Part, Reducer, Text};
 use crate::standstill::Standstill;
 use crate::trace::{Attempt, Trace};
 use actix_rt::net::TcpListener;
@@ -20,6 +21,7 @@
 use bramblewharf_bodies::ledger::Counts as BodyCounts;
 use bramblewharf_bodies::spool::{Disk, Folder, Threads};
 use bramblewharf_bodies::Keeper;
+use bramblewharf_fleet::predecessor::Predecessor;
 use bramblewharf_fleet::{node, Terms, Wrong};
 use bramblewharf_site::Names;
 use slog::Logger;
@@ -136,6 +138,8 @@
     peers: Option<Peers>,
     fleet: Option<Link>,
     policy: Option<policy::Disk>,
+    /// Where what is out at engines is kept.
+    record: Option<RecordFile>,
     names_passed_over: Rc<Cell<u64>>,
     /// When the list was last confirmed.
     list_heard: Rc<Cell<TimerInstant>>,
@@ -300,6 +304,16 @@
                 });
                 self.stopping.borrow_mut().insert(key, task);
             }
+            Effect::Record(write) => {
+                self.record.iter().for_each(|record| record.write(&write, &self.log));
+            }
+            Effect::Hear { address, name, within } => {
+                let core = self.clone();
+                actix_rt::spawn(async move {
+                    let has_read = core.engines.hear(address, &name, within).await;
+                    core.input(Input::EngineHeard { has_read });
+                });
+            }
             Effect::Keep { generation, bytes } => {
                 let known = self.policy.as_ref().map_or(Some(true), |disk| disk.keep(generation, bytes));
                 if let Some(well) = known {
@@ -518,11 +532,31 @@
             terms.start.terms.wrong = wrong_policy;
             (terms.start, terms.names)
         });
-        let part = start
-            .fleet
-            .map(|terms| node::Start { terms: Terms { wrong, ..terms.start.terms }, ..terms.start });
+        let record_path = start.fleet.as_ref().and_then(|terms| terms.outstanding_file.clone());
+        let part = start.fleet.map(|terms| {
+            let start = node::Start { terms: Terms { wrong, ..terms.start.terms }, ..terms.start };
+            let kept = record_path.as_deref().map(|path| record_file::read(path, &start, &log));
+            let (predecessor, slots) =
+                kept.map_or((Predecessor::Unknown, None), |(p, slots)| (p, Some(slots)));
+            Part { start, predecessor, slots }
+        });
         let (reducer, first) =
             Reducer::start_in(part, of_policy, start.site, start.seed, start.bounds.stmts, clock.now());
+        let record = record_path.and_then(|path| {
+            let writes = first.iter().filter_map(|effect| match effect {
+                Effect::Record(write) => Some(write.clone()),
+                _ => None,
+            });
+            let writes: Vec<_> = writes.collect();
+            let replaced = RecordFile::replace(&path, &writes);
+            let replaced = replaced.map_err(|error| {
+                // The process after this one must not take the file of the one before for ours.
+                let removed = std::fs::remove_file(&path);
+                slog::error!(log, "no record of what is out is kept"; "file" => %path.display(),
+                    "error" => %error, "removed" => removed.is_ok());
+            });
+            replaced.ok()
+        });
         let core = Rc::new(Core {
             reducer: RefCell::new(reducer),
             clock,
@@ -541,6 +575,7 @@
             peers,
             fleet,
             policy,
+            record,
             names_passed_over: asker.passed_over.clone(),
             list_heard: asker.heard(),
             callers: Cell::new(0),
--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -2,6 +2,8 @@
 
 use bramblewharf::interface::{EngineEntry, EngineState, Id, ListKind, NewStatement, Note, Outcome};
 use bramblewharf_budgets::{Budget, Measure, Scope, GRAIN};
+use bramblewharf_fleet::outstanding::{Life, Outstanding, Record, Slots};
+use bramblewharf_fleet::predecessor::Predecessor;
 use bramblewharf_fleet::{node, Incarnation, Terms};
 use bramblewharf_gateway::invariants::{Broken, Invariant};
 use bramblewharf_gateway::reducer::*;
@@ -22,16 +24,19 @@
     reducer_in(None, second_copies, most)
 }
 
-fn reducer_in(fleet: Option<node::Start>, second_copies: bool, most: usize) -> Reducer {
-    let settings = json!({
+fn settings(second_copies: bool) -> serde_json::Value {
+    json!({
         "balancers": 1, "tickUs": 5000, "kinds": ["k"],
         "domain": {"sizeCores": [8]},
         "profiles": [
             {"name": "read", "promiseUs": 400_000, "effect": "read_like"},
             {"name": "once", "promiseUs": 400_000, "effect": "non_idempotent"}],
         "allowed": {"tryLimit": 3, "secondCopies": second_copies, "mayCancel": true, "peers": true},
-        "rules": {"coldUs": 1000, "tipAfterUs": 1000}});
-    let (site, _) = bramblewharf_site::read(&settings).unwrap();
+        "rules": {"coldUs": 1000, "tipAfterUs": 1000}})
+}
+
+fn reducer_in(fleet: Option<node::Start>, second_copies: bool, most: usize) -> Reducer {
+    let (site, _) = bramblewharf_site::read(&settings(second_copies)).unwrap();
     let (mut reducer, first) = Reducer::start_in(fleet, None, site, 7, most, START);
     assert!(first.is_empty());
     let list = vec![listed("a"), listed("b")];
@@ -589,3 +594,101 @@
     let effects = r.step(from, statement("s", 1, 0, 900));
     assert!(matches!(&effects[..], [Effect::Start { not_after: None, .. }]), "no fleet, no end");
 }
+
+/// A process before this one left a record of what it had out.
+fn after_a_kill(predecessor: Predecessor, whole: u64) -> (Reducer, Vec<Effect>) {
+    let start = alone(Scope::default(), Measure::StatementsAtOnce, whole);
+    let slots = Some(Slots::start(start.incarnation, start.table, 0, None));
+    let part = Part { start, predecessor, slots };
+    let (site, _) = bramblewharf_site::read(&settings(true)).unwrap();
+    let (mut reducer, mut effects) = Reducer::start_in(Some(part), None, site, 7, 99, START);
+    let mut list = vec![listed("a"), listed("b")];
+    let port = list[0].address.port() + 1;
+    list[1].address.set_port(port);
+    effects.extend(reducer.step(START, Input::Engines(ListKind::Remembered, list)));
+    (reducer, effects)
+}
+
+fn recorded(id: &str) -> Predecessor {
+    let life = Life { incarnation: Incarnation(7), after: None, complete: true, table: 1, boot: 0 };
+    let took = vec![(0, GRAIN)];
+    let outstanding = Outstanding { id: id.into(), execution: 0, engine: listed("a").address, took };
+    Predecessor::Recorded(Record { life, outstanding: vec![outstanding] })
+}
+
+/// Guards against what a killed process sent being taken for over before its engine has shown that.
+#[test]
+fn what_a_process_before_had_out_is_in_use_until_its_engine_answers() {
+    for (after, is_free) in [
+        (AfterCancel::Over, true),
+        (AfterCancel::Unread, false),
+        (AfterCancel::Unknown, false),
+        // Its connection was not reset: what was on its way may yet arrive.
+        (AfterCancel::CutOff, false),
+    ] {
+        let (mut r, effects) = after_a_kill(recorded("old"), 2);
+        let asked = |effect: &&Effect| matches!(effect, Effect::Stop { id, cancel, .. } if &**id == "old" && cancel.awaited);
+        assert_eq!(effects.iter().filter(asked).count(), 1);
+        // Engines have been heard, which is no word of that execution: the floor is there, less what it takes.
+        let effects = goes_on(&mut r, START, START + ms(500));
+        let heard = effects.iter().filter(|effect| matches!(effect, Effect::Hear { .. })).count();
+        assert_eq!(heard, 2, "{effects:?}");
+        goes_on(&mut r, START + ms(500), START + ms(900));
+        (0..heard).for_each(|_| drop(r.step(START + ms(900), Input::EngineHeard { has_read: true })));
+        goes_on(&mut r, START + ms(900), START + ms(1500));
+        let from = START + ms(1500);
+        assert_eq!(sent(&r.step(from, statement("s", 1, 0, 900))), 1);
+        assert_eq!(sent(&r.step(from, statement("t", 2, 0, 900))), 0);
+        r.step(from + ms(1), Input::Stopped { id: "old".into(), execution: 0, after });
+        assert_eq!(sent(&r.step(from + ms(2), statement("u", 3, 0, 900))) == 1, is_free, "{after:?}");
+        if !is_free {
+            // Not for longer than an engine may begin it and run it.
+            r.step(from + ms(10), completed("s"));
+            goes_on(&mut r, from + ms(10), START + ms(4000));
+            assert_eq!(r.fleet().unwrap().figures(START + ms(4000))[0].in_use, 0, "{after:?}");
+        }
+    }
+}
+
+/// Guards against a floor that is used before every engine has shown that it has read what an unknown process sent.
+#[test]
+fn without_a_record_every_engine_is_heard_first() {
+    let next = |r: &mut Reducer, at: Duration, id: &str| sent(&r.step(at, statement(id, 2, 0, 900)));
+    for silent in [false, true] {
+        let (mut r, _) = after_a_kill(Predecessor::Unknown, 2);
+        let effects = goes_on(&mut r, START, START + ms(100));
+        assert_eq!(effects.iter().filter(|effect| matches!(effect, Effect::Hear { .. })).count(), 2);
+        goes_on(&mut r, START + ms(100), START + ms(600));
+        r.step(START + ms(600), Input::EngineHeard { has_read: true });
+        goes_on(&mut r, START + ms(600), START + ms(1800));
+        assert_eq!(next(&mut r, START + ms(1800), "s"), 0, "one has yet to answer");
+        r.step(START + ms(1800), Input::EngineHeard { has_read: !silent });
+        goes_on(&mut r, START + ms(1800), START + ms(1900));
+        assert_eq!(next(&mut r, START + ms(1900), "t"), 0, "engines go on for a while");
+        goes_on(&mut r, START + ms(1900), START + ms(2400));
+        assert_eq!(next(&mut r, START + ms(2400), "u"), usize::from(!silent));
+        goes_on(&mut r, START + ms(2400), START + ms(4000));
+        if silent {
+            assert_eq!(next(&mut r, START + ms(4000), "v"), 1, "no longer than it may run");
+        }
+    }
+}
+
+/// Guards against a first byte that goes out before the record holds its execution.
+#[test]
+fn what_goes_out_is_recorded_before_and_until_it_is_over() {
+    let (mut r, _) = after_a_kill(Predecessor::Ended, 2);
+    let from = START + ms(1000);
+    let early = goes_on(&mut r, START, from);
+    assert!(early.iter().any(|effect| matches!(effect, Effect::Record(write) if write.at == 0)), "complete");
+    let effects = r.step(from, statement("s", 1, 0, 900));
+    let [Effect::Record(added), Effect::Start { .. }] = &effects[..] else { panic!("{effects:?}") };
+    assert!(added.bytes.iter().any(|byte| *byte != 0));
+    let effects = r.step(from + ms(5), completed("s"));
+    let removed = effects.iter().find_map(|effect| match effect {
+        Effect::Record(write) => Some(write),
+        _ => None,
+    });
+    let removed = removed.expect("it is over");
+    assert_eq!((removed.at, removed.bytes.iter().all(|byte| *byte == 0)), (added.at, true));
+}
--- a/crates/rig/src/campaign.rs
+++ b/crates/rig/src/campaign.rs
@@ -1,7 +1,7 @@
 //! Plans of faults against processes: each is played in real time, the fleet is healed, and the records are checked.
 
 use crate::plan::{Fault, Plan as Faults};
-use crate::relay::Way;
+use crate::relay::{Streams, Way};
 use crate::world::{Clients, Plan, World};
 use std::collections::BTreeMap;
 use std::io;
@@ -85,6 +85,7 @@
         let now = began.elapsed();
         while steps.first().is_some_and(|(at, _)| *at <= now) {
             match steps.remove(0).1 {
+                Step::EnginesRead(at) => world.set_engines(at, Streams::Well),
                 Step::GoOn(at) => world.go_on(at),
                 Step::Start(at) => world.start(at)?,
                 Step::Fault(Fault::Demand(at, per_second)) => {
@@ -126,6 +127,7 @@
     Fault(Fault),
     GoOn(usize),
     Start(usize),
+    EnginesRead(usize),
 }
 
 /// Causes it, and says what is to be done so much later.
@@ -139,6 +141,13 @@
     let mut later = Vec::new();
     match fault {
         Fault::Kill(at) => world.kill(at),
+        Fault::KillUnread(at, lasts) => {
+            world.set_engines(at, Streams::Silent);
+            world.kill(at);
+            world.set_engines(at, Streams::Held);
+            later.push((lasts, Step::EnginesRead(at)));
+        }
+        Fault::LoseRecord(at) => world.lose_record(at),
         Fault::Start(at) => world.start(at)?,
         Fault::Leave(at) => world.leave(at),
         Fault::Pause(at, lasts) => {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -114,6 +114,7 @@
     GivesAnewAtOnce,
     NoWaitingOut,
     FreeAtTheKill,
+    SettledUnheard,
     /// Of policy: from one revision to the next at once.
     SkipsBoth,
 }
@@ -195,6 +196,7 @@
         Mistake::GivesAnewAtOnce => Some(Wrong::GivesAnewAtOnce),
         Mistake::NoWaitingOut => Some(Wrong::NoWaitingOut),
         Mistake::FreeAtTheKill => Some(Wrong::FreeAtTheKill),
+        Mistake::SettledUnheard => Some(Wrong::SettledUnheard),
         Mistake::SkipsBoth => None,
     });
     let ticks = (fast != 0).then(|| Rc::new(ticks) as _);
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -9,6 +9,10 @@
 pub enum Fault {
     /// The process is gone at once; what it had running goes on at the engines for a while.
     Kill(usize),
+    /// The process is gone at once, and engines read what it sent so much later, whatever they answer meanwhile.
+    KillUnread(usize, Duration),
+    /// The file of what a gateway has out is gone.
+    LoseRecord(usize),
     /// A new process under the same place, if there is none.
     Start(usize),
     /// It stands still for so long, and then goes on with what it had.
@@ -68,6 +72,8 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Fault::Kill(_) => "kill",
+            Fault::KillUnread(..) => "kill, read late",
+            Fault::LoseRecord(_) => "lost record",
             Fault::Start(_) => "start",
             Fault::Pause(..) => "pause",
             Fault::Leave(_) => "leave",
--- a/crates/rig/src/scale/decide.rs
+++ b/crates/rig/src/scale/decide.rs
@@ -507,7 +507,7 @@
                 self.works.remove(&name(caller));
             }
             Effect::Tell { to, said } => self.tell(to, &said),
-            Effect::Keep { .. } | Effect::Say { .. } => {}
+            Effect::Keep { .. } | Effect::Say { .. } | Effect::Record(_) | Effect::Hear { .. } => {}
         }
     }
 
--- a/crates/rig/src/scale/hollow/gateway.rs
+++ b/crates/rig/src/scale/hollow/gateway.rs
@@ -188,6 +188,8 @@
             Effect::Stop { id, execution, .. } => {
                 self.inputs.push_back(Input::Stopped { id, execution, after: AfterCancel::Over })
             }
+            Effect::Record(_) => {}
+            Effect::Hear { .. } => self.inputs.push_back(Input::EngineHeard { has_read: true }),
             // Without a disk, and so said to be well at once.
             Effect::Keep { generation, .. } => self.inputs.push_back(Input::Kept { generation, well: true }),
             Effect::Say { to, envelope } => self.say(&to, &envelope),
--- a/crates/rig/src/simulated.rs
+++ b/crates/rig/src/simulated.rs
@@ -2,9 +2,11 @@
 //! (who is there, what runs at engines) is kept apart from what the machines believe, and the invariants are checked on it.
 
 use crate::plan::{Fault, Plan};
-use bramblewharf_budgets::usage::Took;
+use bramblewharf_budgets::usage::{Lingering, Took};
 use bramblewharf_budgets::{Budget, Claim, Measure, Scope, GRAIN};
 use bramblewharf_fleet::node::{Effect, Node, Remains, Start, To};
+use bramblewharf_fleet::outstanding::{Life, Outstanding, Record};
+use bramblewharf_fleet::predecessor::Predecessor;
 use bramblewharf_fleet::wire::Message;
 use bramblewharf_fleet::{Envelope, Incarnation, Key, Terms, Wrong};
 use nanorand::{Rng, WyRand};
@@ -16,6 +18,9 @@
 const MS: Duration = Duration::from_millis(1);
 /// Messages kept to come again.
 const KEPT: usize = 512;
+/// An engine that answers two calls so far apart has read what had come before, where nothing holds that up; and an engine's answer.
+const READS_WITHIN: Duration = Duration::from_millis(500);
+const ANSWERS: Duration = Duration::from_millis(2);
 
 /// A fleet, before anything happens to it.
 #[derive(Clone, Debug)]
@@ -107,6 +112,9 @@
 }
 
 struct Execution {
+    id: u64,
+    /// Its engine has not read it before then.
+    read: Duration,
     /// When it ends at its engine, and whether the gateway hears of that.
     ends: Duration,
     took: Took,
@@ -129,6 +137,11 @@
     demand: u32,
     lies: bool,
     running: Vec<Execution>,
+    /// What its file holds of what is out, as the next process finds it; and what this one began with.
+    record: Option<Record>,
+    life: Option<Life>,
+    /// Engines don't answer it before then.
+    unheard: Duration,
     /// What it counted for in the sum when last looked at.
     counted: u64,
 }
@@ -138,6 +151,10 @@
     Arrives(usize, Box<Envelope>, SocketAddr),
     Statement(usize, u64),
     Ended(usize),
+    /// Of a process, all engines have answered that it asked.
+    Heard(usize, u64),
+    /// Of a process, an engine has answered of an execution that a process before it sent.
+    Settled(usize, u64, u64, Lingering),
     Planned(usize),
     Heal(usize),
     Sample,
@@ -216,6 +233,9 @@
                 demand: fleet.demand,
                 lies: false,
                 running: Vec::new(),
+                record: None,
+                life: None,
+                unheard: Duration::ZERO,
                 counted: 0,
             }
         });
@@ -249,6 +269,12 @@
         &self.seen
     }
 
+    /// What a gateway has as its floor now.
+    pub fn floor(&mut self, at: usize) -> u64 {
+        let local = self.local(at);
+        self.gateways[at].node.as_mut().map_or(0, |node| node.figures(local).iter().map(|f| f.floor).sum())
+    }
+
     fn queue(&mut self, at: Duration, event: Event) {
         self.order += 1;
         self.queue.push(Reverse(Queued { at: at.max(self.now), order: self.order, event }));
@@ -311,6 +337,15 @@
             }
             Event::Statement(at, incarnation) => self.statement(at, incarnation),
             Event::Ended(at) => self.end(at),
+            Event::Heard(at, incarnation) => {
+                if self.gateways[at].incarnation == incarnation {
+                    self.step(at, |node, now| {
+                        node.engines_heard(now);
+                        Vec::new()
+                    });
+                }
+            }
+            Event::Settled(at, incarnation, id, name) => self.settled(at, incarnation, id, name),
             Event::Planned(at) => self.planned(self.plan[at].1.clone()),
             Event::Heal(at) => self.troubles[at] = None,
             Event::Sample => self.sample(),
@@ -337,8 +372,13 @@
             seed,
         };
         let now = self.local(at);
-        self.gateways[at].node = Some(Node::start(start, now));
+        let record = self.gateways[at].record.take();
+        self.gateways[at].life = Some(Life::start(start.incarnation, 1, 0, record.as_ref()));
+        let predecessor = record.map_or(Predecessor::Unknown, Predecessor::Recorded);
+        let (node, inherited) = Node::start_after(start, predecessor, now);
+        self.gateways[at].node = Some(node);
         let incarnation = self.gateways[at].incarnation;
+        self.ask_engines(at, inherited);
         let soon = self.now + Duration::from_micros(self.rng.generate_range(0..20_000));
         self.gateways[at].wakes = Some(soon);
         self.queue(soon, Event::Wake(at, incarnation));
@@ -346,18 +386,67 @@
         self.count(at);
     }
 
+    /// A process that starts asks engines for each execution that it knows of, and whether they have read what it does not know of.
+    fn ask_engines(&mut self, at: usize, inherited: Vec<(Outstanding, Lingering)>) {
+        let (now, incarnation) = (self.now, self.gateways[at].incarnation);
+        for (outstanding, name) in inherited {
+            let id: u64 = outstanding.id.parse().expect("a number");
+            let read = self.gateways[at].running.iter().find(|x| x.id == id).map_or(now, |x| x.read);
+            self.queue(read.max(now) + ANSWERS, Event::Settled(at, incarnation, id, name));
+        }
+        let heard = self.gateways[at].unheard.max(now) + READS_WITHIN;
+        self.queue(heard, Event::Heard(at, incarnation));
+    }
+
+    /// The engine has it, and ends it as it is told to.
+    fn settled(&mut self, at: usize, incarnation: u64, id: u64, name: Lingering) {
+        if self.gateways[at].incarnation != incarnation || self.gateways[at].node.is_none() {
+            return;
+        }
+        if self.gateways[at].paused > self.now {
+            let paused = self.gateways[at].paused;
+            return self.queue(paused, Event::Settled(at, incarnation, id, name));
+        }
+        self.gateways[at].running.retain(|x| x.id != id);
+        self.step(at, |node, now| {
+            node.settle(now, name, Remains::Nothing);
+            Vec::new()
+        });
+    }
+
     fn kill(&mut self, at: usize) {
         let keep = self.fleet.terms().engines_keep;
         let now = self.now;
         let gateway = &mut self.gateways[at];
-        if gateway.node.take().is_some() {
+        if let Some(node) = gateway.node.take() {
+            let life = gateway.life.take().map(|life| Life { complete: node.counts_all(), ..life });
+            let left = |x: &Execution| Outstanding {
+                id: x.id.to_string(),
+                execution: 0,
+                engine: address(at),
+                took: x.took.clone(),
+            };
+            let outstanding = gateway.running.iter().map(left).collect();
+            gateway.record = life.map(|life| Record { life, outstanding });
             // Nobody asks any more: engines go on for as long as they do.
-            gateway.running.iter_mut().for_each(|x| x.ends = x.ends.min(now + keep));
+            gateway.running.iter_mut().for_each(|x| x.ends = x.ends.min(x.read.max(now) + keep));
             gateway.inbox.clear();
         }
         self.count(at);
     }
 
+    /// Killed, and what it has out is read so much later: it may be in use all that time.
+    fn kill_unread(&mut self, at: usize, lasts: Duration) {
+        let (read, keep) = (self.now + lasts, self.fleet.terms().engines_keep);
+        if self.gateways[at].node.is_some() {
+            self.gateways[at].unheard = read;
+            for x in &mut self.gateways[at].running {
+                (x.read, x.ends) = (read, read + keep);
+            }
+        }
+        self.kill(at);
+    }
+
     fn step(&mut self, at: usize, step: impl FnOnce(&mut Node, Duration) -> Vec<Effect>) {
         let now = self.local(at);
         let Some(node) = &mut self.gateways[at].node else { return };
@@ -468,7 +557,8 @@
         // Now and then an ending is not heard of, and the engine goes on for a while.
         let unheard = self.rng.generate_range(0..50) == 0;
         let ends = self.now + lasts;
-        self.gateways[at].running.push(Execution { ends, took, incarnation, unheard, over: false });
+        let (id, read) = (self.seen.sent, self.now);
+        self.gateways[at].running.push(Execution { id, read, ends, took, incarnation, unheard, over: false });
         self.queue(ends, Event::Ended(at));
         self.count(at);
     }
@@ -515,6 +605,8 @@
         };
         match fault {
             Fault::Kill(at) => self.kill(at),
+            Fault::KillUnread(at, lasts) => self.kill_unread(at, lasts),
+            Fault::LoseRecord(at) => self.gateways[at].record = None,
             Fault::Start(at) => self.start(at),
             Fault::Pause(at, lasts) => {
                 let gateway = &mut self.gateways[at];
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -41,6 +41,8 @@
     pub peers: bool,
     /// The fleet's first policy, where changes of it go through the fleet.
     pub policy: Option<&'static str>,
+    /// Gateways keep what they have out in a file, for the process after them.
+    pub records: bool,
     /// By gateway, clocks that are wrong: parts in a thousand that they are fast.
     pub clocks: BTreeMap<usize, i64>,
 }
@@ -61,6 +63,7 @@
             wrong: None,
             peers: false,
             policy: None,
+            records: true,
             clocks: BTreeMap::new(),
         }
     }
@@ -225,6 +228,11 @@
         self.gateways[of].engines.iter().for_each(|relay| relay.set(state));
     }
 
+    /// How one gateway reaches one engine.
+    pub fn set_engine_of(&self, of: usize, engine: usize, state: Streams) {
+        self.gateways[of].engines[engine].set(state);
+    }
+
     fn write_files(&self, at: usize, life: usize) -> io::Result<(PathBuf, PathBuf, PathBuf)> {
         let (plan, process) = (&self.plan, &self.gateways[at]);
         let members: Vec<Value> = process
@@ -296,6 +304,12 @@
             whole = plan.whole,
             floor = plan.floor_percent,
         );
+        let text = match plan.records {
+            true => {
+                text.replacen("  status", &format!("  outstanding_file = {:?}\n  status", self.record(at)), 1)
+            }
+            false => text,
+        };
         let policy = plan.policy.map(|text| {
             let first = dir.join("policy.hcl");
             let kept = dir.join(format!("policy-{at}"));
@@ -309,6 +323,16 @@
         Ok((config_path, settings, facts))
     }
 
+    /// Where a gateway keeps what it has out.
+    pub fn record(&self, at: usize) -> PathBuf {
+        self.dir.path().join(format!("outstanding-{at}"))
+    }
+
+    /// The machine has lost it.
+    pub fn lose_record(&self, at: usize) {
+        let _ = fs::remove_file(self.record(at));
+    }
+
     /// The fleet's settings for an operator's tool, which asks the seats without anything between.
     fn tool(&self) -> io::Result<PathBuf> {
         let dir = self.dir.path();
--- /dev/null
+++ b/crates/rig/tests/kills.rs
@@ -0,0 +1,209 @@
+//! Gateways that are killed while engines have not read what they sent: what is out counts until engines can't begin it any more, and
+//! the process after has its floor again soon.
+
+use bramblewharf_rig::relay::{Streams, Way};
+use bramblewharf_rig::world::{Clients, Plan, World};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+const CUT: Way = Way { cut: true, lost: 0, doubled: 0, late: Duration::ZERO };
+/// A gateway sends for so long what engines do not read yet: it has given none of it up when it is killed.
+const UNREAD: Duration = Duration::from_millis(200);
+/// What was sent is read no later than a lease, a quarter of it and the longest statement after it was sent.
+const READ_LATE: Duration = Duration::from_millis(1900);
+/// Statements that were read late run to their ends within this.
+const RUN: Duration = Duration::from_millis(700);
+/// How soon a gateway that starts again serves a statement where its engines are well.
+const SERVES_WITHIN: Duration = Duration::from_secs(1);
+
+/// A fleet in which all gateways but one have more to do than the whole, and that one nothing.
+struct Crowd {
+    world: World,
+    idle: usize,
+    clients: Vec<Clients>,
+}
+
+impl Crowd {
+    fn start(plan: Plan, idle: usize) -> Crowd {
+        let mut world = World::new(plan, Path::new(env!("CARGO_BIN_EXE_bramblewharf-rig"))).unwrap();
+        world.start_all().unwrap();
+        world.wait("a keeper", |world| world.keeper().is_some());
+        let busy = (0..world.plan.gateways).filter(|at| *at != idle);
+        let clients = busy.map(|at| world.clients(at, 16, 100 * MS)).collect();
+        let crowd = Crowd { world, idle, clients };
+        crowd.wait_full();
+        crowd
+    }
+
+    /// The last gateway, which has no seat, is the one that is idle.
+    fn of_half_a_second_each() -> Crowd {
+        let plan = Plan { lasts: 500 * MS, ..Plan::default() };
+        let last = plan.gateways - 1;
+        Crowd::start(plan, last)
+    }
+
+    fn wait_full(&self) {
+        let world = &self.world;
+        let whole = world.plan.whole;
+        world.wait("the whole given", |world| {
+            (0..world.plan.gateways).map(|at| world.has(at)).sum::<u64>() >= whole - whole / 12
+        });
+    }
+
+    /// The idle gateway sends as much as it may to these engines, which do not read it.
+    fn send_unread(&mut self, engines: &[usize]) {
+        for engine in 0..self.world.plan.engines {
+            let state = if engines.contains(&engine) { Streams::Silent } else { Streams::Well };
+            self.world.set_engine_of(self.idle, engine, state);
+        }
+        self.clients.push(self.world.clients(self.idle, 16, 100 * MS));
+        std::thread::sleep(UNREAD);
+    }
+
+    /// Killed, and back at once; what is open to its engines by then goes on as the state says.
+    fn kill_and_start(&mut self, state: Streams) {
+        self.world.kill(self.idle);
+        self.world.set_engines(self.idle, state);
+        self.world.start(self.idle).unwrap();
+    }
+
+    /// Engines read what was sent, and the sum of what ran is checked.
+    fn read_at(&self, at: Instant) {
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        self.world.set_engines(self.idle, Streams::Well);
+        std::thread::sleep(RUN);
+        self.world.check();
+        self.wait_full();
+    }
+}
+
+/// Guards against a killed gateway's part that is free before engines have read what it sent.
+#[test]
+fn what_is_read_long_after_a_kill_is_counted() {
+    let mut crowd = Crowd::of_half_a_second_each();
+    let sent = Instant::now();
+    crowd.send_unread(&[0, 1]);
+    crowd.kill_and_start(Streams::Held);
+    crowd.read_at(sent + READ_LATE);
+}
+
+/// Guards against the same where one engine of two has not read it.
+#[test]
+fn what_one_engine_reads_long_after_a_kill_is_counted() {
+    let mut crowd = Crowd::of_half_a_second_each();
+    let sent = Instant::now();
+    crowd.send_unread(&[0]);
+    crowd.kill_and_start(Streams::Held);
+    crowd.read_at(sent + READ_LATE);
+}
+
+/// Guards against the same where the second process is killed before it knows what the first left.
+#[test]
+fn what_is_read_after_two_kills_in_a_row_is_counted() {
+    for pause in [300 * MS, Duration::ZERO] {
+        let mut crowd = Crowd::of_half_a_second_each();
+        let sent = Instant::now();
+        crowd.send_unread(&[0, 1]);
+        crowd.kill_and_start(Streams::Held);
+        std::thread::sleep(pause);
+        crowd.kill_and_start(Streams::Held);
+        crowd.read_at(sent + READ_LATE);
+    }
+}
+
+/// Guards against a floor that is used though the record is gone or torn and engines have not shown that they read.
+#[test]
+fn without_its_record_a_gateway_waits_until_engines_answer() {
+    for torn in [false, true] {
+        let mut crowd = Crowd::of_half_a_second_each();
+        let sent = Instant::now();
+        crowd.send_unread(&[0, 1]);
+        crowd.world.kill(crowd.idle);
+        let record = crowd.world.record(crowd.idle);
+        match torn {
+            true => {
+                let bytes = std::fs::read(&record).unwrap();
+                std::fs::write(&record, &bytes[..bytes.len() / 2]).unwrap();
+            }
+            false => std::fs::remove_file(&record).unwrap(),
+        }
+        crowd.world.start(crowd.idle).unwrap();
+        crowd.read_at(sent + READ_LATE);
+    }
+}
+
+/// Guards against a part that is free once a cut heals, before what was on its way has been read.
+#[test]
+fn a_kill_during_a_cut_that_heals_late_breaks_nothing() {
+    let mut crowd = Crowd::of_half_a_second_each();
+    let sent = Instant::now();
+    crowd.world.set_around(crowd.idle, CUT, CUT);
+    crowd.send_unread(&[0, 1]);
+    crowd.kill_and_start(Streams::Held);
+    std::thread::sleep(READ_LATE / 2);
+    crowd.world.set_around(crowd.idle, Way::default(), Way::default());
+    crowd.read_at(sent + READ_LATE);
+}
+
+/// Guards against a part that is held for ever by an engine that does not come back.
+#[test]
+fn an_engine_that_is_gone_for_good_holds_nothing_of_a_killed_gateway() {
+    let mut crowd = Crowd::of_half_a_second_each();
+    crowd.send_unread(&[0]);
+    crowd.world.kill(crowd.idle);
+    crowd.world.set_engine_of(crowd.idle, 0, Streams::Gone);
+    crowd.world.start(crowd.idle).unwrap();
+    let clients = &crowd.clients[crowd.clients.len() - 1];
+    let before = clients.tally.completed();
+    crowd.world.wait("served by the other engine", |_| clients.tally.completed() > before + 20);
+    crowd.wait_full();
+    crowd.world.check();
+}
+
+/// Guards against the same fault where the killed gateway keeps the fleet's leave.
+#[test]
+fn what_a_killed_keeper_sent_is_counted() {
+    let plan = Plan { lasts: 500 * MS, ..Plan::default() };
+    let mut crowd = Crowd::start(plan, 0);
+    crowd.idle = crowd.world.keeper().unwrap();
+    let sent = Instant::now();
+    crowd.send_unread(&[0, 1]);
+    crowd.kill_and_start(Streams::Held);
+    crowd.read_at(sent + READ_LATE);
+}
+
+/// Guards against a restart that leaves callers without the gateway's floor: it serves again at once, also beside an engine that hangs.
+#[test]
+fn a_killed_gateway_serves_again_soon_also_beside_an_engine_that_hangs() {
+    for hung in [&[][..], &[0]] {
+        let plan = Plan { engines: 8, ..Plan::default() };
+        let last = plan.gateways - 1;
+        let mut crowd = Crowd::start(plan, last);
+        crowd.send_unread(hung);
+        crowd.world.kill(crowd.idle);
+        crowd.world.start(crowd.idle).unwrap();
+        let clients = &crowd.clients[crowd.clients.len() - 1];
+        let (began, before) = (Instant::now(), clients.tally.completed());
+        crowd.world.wait("served again", |_| clients.tally.completed() > before);
+        let took = began.elapsed();
+        println!("engines that hang {hung:?}: a statement completed {took:?} after the start");
+        assert!(took < SERVES_WITHIN, "{hung:?}: {took:?}");
+        crowd.world.check();
+    }
+}
+
+/// The checkers are checked: a process that takes for over what no engine has shown to be is found out.
+#[test]
+fn a_part_that_is_settled_unheard_is_found() {
+    let plan = Plan { lasts: 500 * MS, wrong: Some("settled-unheard"), ..Plan::default() };
+    let last = plan.gateways - 1;
+    let mut crowd = Crowd::start(plan, last);
+    let sent = Instant::now();
+    crowd.send_unread(&[0, 1]);
+    crowd.kill_and_start(Streams::Held);
+    std::thread::sleep((sent + READ_LATE).saturating_duration_since(Instant::now()));
+    crowd.world.set_engines(last, Streams::Well);
+    std::thread::sleep(RUN);
+    assert!(crowd.world.verdict().is_err(), "more was in use than the whole, and nothing was seen");
+}
--- a/crates/rig/tests/processes.rs
+++ b/crates/rig/tests/processes.rs
@@ -283,7 +283,7 @@
     world.check();
 }
 
-/// Guards against a killed gateway's part that is free before engines have read what it sent (`docs/incidents/more-in-use-than-the-whole.md`).
+/// Guards against a killed gateway's part that is free before engines have read what it sent (`docs/incidents/killed-with-statements-out.md`).
 #[test]
 fn what_a_killed_gateway_sent_counts_until_engines_can_not_begin_it_any_more() {
     let mut world = world(Plan { lasts: 500 * MS, ..Plan::default() });
--- a/crates/rig/tests/simulated.rs
+++ b/crates/rig/tests/simulated.rs
@@ -4,7 +4,7 @@
 use bramblewharf_budgets::GRAIN;
 use bramblewharf_fleet::Wrong;
 use bramblewharf_rig::plan::{draw, smaller, Fault, Plan};
-use bramblewharf_rig::simulated::{play, Fleet, Seen};
+use bramblewharf_rig::simulated::{play, Fleet, Seen, World};
 use std::time::Duration;
 
 const S: Duration = Duration::from_secs(1);
@@ -72,6 +72,90 @@
     assert!(!(1..20).any(|seed| broken(None, seed)));
 }
 
+/// What a gateway killed in a crowd sent is read up to a lease, a quarter and the longest statement later.
+fn killed_unread(records: bool, wrong: Option<Wrong>, seed: u64) -> Seen {
+    let fleet = Fleet { wrong, demand: 600, longest: 2 * S, seed, ..Fleet::default() };
+    let mut plan = Plan::new();
+    for round in 0..3 {
+        let at = 15 * S + round * 7 * S;
+        plan.push((at, Fault::KillUnread(4, 2500 * MS + seed as u32 * 40 * MS)));
+        if !records {
+            plan.push((at + MS, Fault::LoseRecord(4)));
+        }
+        plan.push((at + 20 * MS, Fault::Start(4)));
+    }
+    play(fleet, plan, 40 * S)
+}
+
+/// Guards against a killed gateway's part that is given anew before engines have read what it sent.
+#[test]
+fn what_was_sent_before_a_kill_counts_until_engines_have_read_it() {
+    for records in [true, false] {
+        for seed in 1..20 {
+            assert_eq!(killed_unread(records, None, seed).broken, None, "records {records}, seed {seed}");
+        }
+        let caught = |wrong| (1..60).any(|seed| killed_unread(records, Some(wrong), seed).broken.is_some());
+        assert!(caught(Wrong::SettledUnheard), "records {records}");
+        assert!(caught(Wrong::FreeAtTheKill), "records {records}");
+    }
+}
+
+/// Guards against a record that is taken for the last process's where another came after it.
+#[test]
+fn kills_in_a_row_with_and_without_their_records_break_nothing() {
+    for seed in 1..40u64 {
+        let fleet = Fleet { demand: 600, longest: 2 * S, seed, ..Fleet::default() };
+        let mut plan = Plan::new();
+        let (first, pause) = (12 * S, 20 * MS + seed as u32 * 10 * MS);
+        for round in 0..6 {
+            let at = first + round * pause * 2;
+            let unread = Fault::KillUnread(4, 2900 * MS);
+            plan.push((at, if round == 0 { unread } else { Fault::Kill(4) }));
+            if seed % 3 == u64::from(round) {
+                plan.push((at + MS, Fault::LoseRecord(4)));
+            }
+            plan.push((at + pause, Fault::Start(4)));
+        }
+        assert_eq!(play(fleet, plan, 30 * S).broken, None, "seed {seed}");
+    }
+}
+
+/// Guards against a floor that stays away after a restart: with its record a gateway has it as soon as a keeper has answered, whatever
+/// engines do; without, half a second and engines' time after they have answered.
+#[test]
+fn a_killed_gateway_has_its_floor_again_soon() {
+    let floor = 2 * GRAIN;
+    let back = |records: bool, seats: bool, lasts: Duration| {
+        let fleet = Fleet { gateways: 5, demand: 5, ..Fleet::default() };
+        let mut plan: Plan = vec![(15 * S, Fault::KillUnread(4, lasts))];
+        if !records {
+            plan.push((15 * S + MS, Fault::LoseRecord(4)));
+        }
+        if !seats {
+            plan.extend((0..3).map(|at| (15 * S + MS, Fault::Kill(at))));
+        }
+        plan.push((15 * S + 20 * MS, Fault::Start(4)));
+        let mut world = World::new(fleet, plan);
+        let mut at = 15 * S + 20 * MS;
+        loop {
+            world.run(at);
+            assert_eq!(world.seen().broken, None);
+            if world.floor(4) == floor {
+                return at - 15 * S;
+            }
+            at += 20 * MS;
+            assert!(at < 30 * S, "no floor");
+        }
+    };
+    let zero = Duration::ZERO;
+    let engines_time = Fleet::default().terms().ghost() + 600 * MS;
+    assert!(back(true, true, zero) <= 100 * MS);
+    assert!(back(true, true, 3 * S) <= 100 * MS);
+    assert!(back(true, false, zero) <= engines_time);
+    assert!(back(false, true, zero) <= engines_time);
+    assert!(back(false, true, 2 * S) <= 2 * S + engines_time);
+}
+
 /// The keeper is cut off with one gateway; the other seats start anew and agree on another while its right lasts.
 #[test]
 fn seats_that_vote_unknowing_are_caught() {
