Pauses of a process with no time to read between them are one

Callers saw statements run on after their time was over: an engine was passed more time than the client had left (DeadlinePassedOn), by as long as one pause of the gateway's process.

Cause: of two pauses in a row only the second was remembered, so what had waited through both had only that one taken off its time.

Mend: a pause that begins before what waited during the one before had time to be read goes on with that one. The unit test fails on the code before (806 ms taken off in place of 1210 ms).

--- a/crates/gateway/src/standstill.rs
+++ b/crates/gateway/src/standstill.rs
@@ -9,7 +9,7 @@
 /// What waited during a pause is read within this after it.
 const READ_WITHIN: Duration = Duration::from_millis(60);
 
-/// The last pause of this process.
+/// The last pause of this process; pauses with less than the time to read what waited between them are one.
 pub struct Standstill {
     seen: Cell<Instant>,
     pause: Cell<Option<(Instant, Instant)>>,
@@ -24,7 +24,9 @@
     pub fn works(&self, now: Instant) {
         let seen = self.seen.replace(now);
         if now.saturating_duration_since(seen) > LONGEST_GAP {
-            self.pause.set(Some((seen, now)));
+            // What waited during a pause just before may not have been read yet.
+            let before = self.pause.get().filter(|(_, until)| seen <= *until + READ_WITHIN);
+            self.pause.set(Some((before.map_or(seen, |(from, _)| from), now)));
         }
     }
 
--- a/crates/gateway/src/standstill/tests.rs
+++ b/crates/gateway/src/standstill/tests.rs
@@ -16,3 +16,20 @@
     assert_eq!(standstill.settles(at(1560)), None);
     assert_eq!(standstill.waited(at(1600)), Duration::ZERO);
 }
+
+/// Guards against a call that waited through two pauses, of which only the second counts.
+#[test]
+fn pauses_with_no_time_to_read_between_them_are_one() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let standstill = Standstill::new(start);
+    for ms in [400, 404, 800, 803, 1200] {
+        standstill.works(at(ms));
+    }
+    assert_eq!(standstill.waited(at(1210)), Duration::from_millis(1210));
+    // Time enough to read all that came: the next is a pause of its own.
+    for ms in [1250, 1300, 1700] {
+        standstill.works(at(ms));
+    }
+    assert_eq!(standstill.waited(at(1710)), Duration::from_millis(410));
+}
