A call is not written by what was worked out before a pause of the process

Cause: the time that is left is worked out, and client, list and drain are looked at, right before a call is written; the process was stopped in between, and wrote it when it went on. Evidence: the time passed is what was left at the very end of the 4 ms in which the process ran, and the attempt came when it went on again.

Mend: the connection keeps when that was, and writes no first byte later than 90 ms after. The call then goes out on another connection by what holds then; where that is late too it is skipped, with no word against the engine. A test of the connection alone fails without this one.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -19,6 +19,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::sync::Notify;
 
+/// A process that is at work writes a call's first byte much sooner after it has worked out what goes with it.
+const FIRST_BYTE_WITHIN: Duration = Duration::from_millis(90);
+
 pub struct Connection {
     stream: RefCell<Option<TcpStream>>,
     readers: RefCell<Option<Waker>>,
@@ -44,6 +47,9 @@
     exchange: Option<RefCell<Exchange>>,
     /// Bytes of the call that is open, or was last, were written.
     sent: Cell<bool>,
+    /// Of a connection to an engine: when it was last settled that a call may go out, and whether that was too long before its first byte.
+    asked: Cell<Option<Instant>>,
+    late: Cell<bool>,
     /// An engine has answered before a call had come whole: nothing more of that is written.
     early: Cell<bool>,
     ended: Cell<bool>,
@@ -184,6 +190,22 @@
     /// A call is about to be written to an engine.
     pub fn ask(&self) {
         self.sent.set(false);
+        self.asked.set(Some(Instant::now()));
+    }
+
+    /// Whether the call was not written as its first byte came too long after it was asked for: this process stood still in between.
+    pub fn was_late(&self) -> bool {
+        self.late.get()
+    }
+
+    /// What was worked out for a call, such as the time it has left, holds for its first byte.
+    fn check_in_time(&self) -> io::Result<()> {
+        let asked = self.asked.get().filter(|_| !self.sent.get());
+        if asked.is_some_and(|asked| asked.elapsed() > FIRST_BYTE_WITHIN) {
+            self.late.set(true);
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        Ok(())
     }
 
     pub fn sent(&self) -> bool {
@@ -519,6 +541,8 @@
             allowed: Cell::new(0),
             exchange: self.answer.map(|most| RefCell::new(Exchange::new(most))),
             sent: Cell::new(false),
+            asked: Cell::new(None),
+            late: Cell::new(false),
             early: Cell::new(false),
             ended: Cell::new(false),
             end: Notify::new(),
@@ -643,6 +667,7 @@
         if connection.early.get() {
             return Poll::Ready(Ok(buf.len()));
         }
+        connection.check_in_time()?;
         connection.check_free(stream)?;
         let mut written = Pin::new(&mut *stream).poll_write(cx, buf);
         // An engine that answers and closes resets what still comes: its answer waits here all the same.
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -77,6 +77,28 @@
     }
 }
 
+/// Guards against a call that goes out by what was worked out before a pause of this process.
+#[actix_rt::test]
+async fn a_call_whose_first_byte_is_late_is_not_written() {
+    use tokio::io::AsyncWriteExt as _;
+    let connections = Connections::of_engines(100, LONG);
+    let (mut there, mut link) = pair(&connections).await;
+    link.0.ask();
+    link.0.asked.set(Instant::now().checked_sub(FIRST_BYTE_WITHIN + Duration::from_millis(1)));
+    assert!(link.write_all(b"call").await.is_err() && link.0.was_late() && !link.0.sent());
+    drop(link);
+    let mut bytes = [0; 4];
+    assert_eq!(there.read(&mut bytes).await.unwrap(), 0);
+    // Once its first byte is out the rest may take its time.
+    let (mut there, mut link) = pair(&connections).await;
+    link.0.ask();
+    link.write_all(b"ca").await.unwrap();
+    link.0.asked.set(Instant::now().checked_sub(LONG));
+    link.write_all(b"ll").await.unwrap();
+    there.read_exact(&mut bytes).await.unwrap();
+    assert!(&bytes == b"call" && !link.0.was_late());
+}
+
 /// What is let go is shut for writing and read out: bytes that came in this very moment cost the client no answer by a reset, and
 /// nothing of them is handed on.
 #[actix_rt::test]
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -510,7 +510,7 @@
         }
     }
 
-    /// One call, once. Only where not a byte of it was written does it go out on a second connection.
+    /// One call, once. Only where not a byte of it was written does it go out on a second connection, by what holds then.
     async fn call(
         &self,
         way: &mut Way,
@@ -519,6 +519,7 @@
         within: Duration,
         may: May<'_>,
     ) -> Call {
+        let mut was_late = false;
         for _ in 0..2 {
             let connection = match self.connect(way).await {
                 Ok(connection) => connection,
@@ -547,6 +548,7 @@
                 return Call::Answered(reply);
             }
             let is_silent = reply.is_none();
+            was_late = connection.was_late();
             way.leave();
             if connection.sent() {
                 return match text {
@@ -559,6 +561,10 @@
                 body.take_back();
             }
         }
+        // The engine has no part in a pause of this process.
+        if was_late {
+            return Call::NoRoom;
+        }
         Call::NotMade(false)
     }
 
--- a/crates/rig/tests/pauses.rs
+++ b/crates/rig/tests/pauses.rs
@@ -80,3 +80,25 @@
     let found: Vec<String> = records.judge().iter().map(ToString::to_string).collect();
     assert!(found.is_empty(), "{found:#?}");
 }
+
+/// Guards against a call that waited through two pauses, of which only the second is taken off its time.
+#[test]
+fn what_waited_through_two_pauses_in_a_row_has_the_time_of_both_taken_off() {
+    let program = Path::new(env!("CARGO_BIN_EXE_bramblewharf-rig"));
+    let mut fleet = Fleet::start(1, 1, 4, program).unwrap();
+    let clients = vec![fleet.clients(0, 60, 20 * MS)];
+    fleet.run(1000 * MS).unwrap();
+    for _ in 0..4 {
+        for _ in 0..2 {
+            fleet.gateways[0].stop();
+            fleet.run(400 * MS).unwrap();
+            fleet.gateways[0].go_on();
+            // Long enough to go on, too short to read all that came.
+            fleet.run(4 * MS).unwrap();
+        }
+        fleet.run(600 * MS).unwrap();
+    }
+    let records = fleet.finish(clients).unwrap();
+    let found: Vec<String> = records.judge().iter().map(ToString::to_string).collect();
+    assert!(found.is_empty(), "{found:#?}");
+}
