Reducer: messages and the part in a fleet have modules of their own

The file had grown to 1,106 lines with three jobs. What goes in and comes out stands in reducer/io.rs, budgets, policy and what processes before may have out in reducer/fleet.rs; the reducer itself has 730.

--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -1,27 +1,30 @@
 //! The one place where the gateway's state changes: `(state, input, now) -> effects`, without I/O, clock or
 //! await. It owns the decisions, the statements and their executions; the runtime carries out what it asks for.
 
+mod fleet;
+mod io;
+
 use crate::hearing::Hearing;
 use crate::invariants::{Broken, Invariant};
-use crate::policy::{Names, Permitted};
+use crate::policy::Names;
 use crate::unsettled::Unsettled;
 use bramblewharf::choice::{Chooser, Refusal, Rule};
 use bramblewharf::interface::*;
-use bramblewharf_bodies::Body;
-use bramblewharf_budgets::{Claim, Permits};
-use bramblewharf_fleet::node::{self, Node, Remains};
-use bramblewharf_fleet::outstanding::{self, Outstanding, Slots};
-use bramblewharf_fleet::predecessor::Predecessor;
-use bramblewharf_fleet::wire::{Message, Party};
+use bramblewharf_fleet::node::{Node, Remains};
+use bramblewharf_fleet::outstanding::Outstanding;
+use bramblewharf_fleet::wire::Message;
 use bramblewharf_fleet::Envelope;
 use bramblewharf_policy as policy;
-use bytes::Bytes;
+use fleet::Policy;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use fleet::Part;
+pub use io::{AfterCancel, Answer, Cancel, Effect, Ending, Input, Listed, Parcel, Taken, Text};
+
 /// How long after a statement's time is over the gateway answers by itself, should the decisions not have.
 const GUARD: Duration = Duration::from_millis(15);
 
@@ -39,220 +42,6 @@
 /// How long an engine is told at the least to end an execution, where it does not answer.
 pub const CANCEL_WITHIN: Duration = Duration::from_millis(2500);
 
-/// How long the keeper's word of the process before is waited for until engines are asked instead.
-const KEEPER_FIRST: Duration = Duration::from_millis(250);
-
-/// A gateway's part in its fleet, after whatever process had its place before.
-pub struct Part {
-    pub start: node::Start,
-    pub predecessor: Predecessor,
-    /// The record of what is out, where one is kept.
-    pub slots: Option<Slots>,
-}
-
-impl From<node::Start> for Part {
-    fn from(start: node::Start) -> Part {
-        Part { start, predecessor: Predecessor::Ended, slots: None }
-    }
-}
-
-/// What goes on unchanged to an engine.
-#[derive(Debug)]
-pub struct Parcel {
-    pub id: Bytes,
-    pub workload: Bytes,
-    pub key: Option<Bytes>,
-    pub text: Text,
-}
-
-/// A statement's text: as it came, or, beyond the ordinary size, where it is kept.
-#[derive(Clone, Debug)]
-pub enum Text {
-    Whole(Bytes),
-    Body(Rc<Body>),
-}
-
-#[derive(Debug)]
-pub struct Taken {
-    /// Whom the answer goes to: a number of the front's own.
-    pub caller: u64,
-    pub said: NewStatement,
-    pub parcel: Parcel,
-}
-
-#[derive(Debug)]
-pub enum Input {
-    Statement(Taken),
-    /// The client has left, or its connection has.
-    Left(Id),
-    /// No call of its client is open, or one is again.
-    Absent(Id, bool),
-    /// Its text can't be sent again any more.
-    Unkept(Id),
-    Noted {
-        id: Id,
-        execution: usize,
-        note: Note,
-    },
-    Ended {
-        id: Id,
-        execution: usize,
-        ending: Ending,
-    },
-    /// Its engine has shown that it has it.
-    Arrived {
-        id: Id,
-        execution: usize,
-    },
-    /// The engine of a stopped execution has been told to end it, or could not be.
-    Stopped {
-        id: Id,
-        execution: usize,
-        after: AfterCancel,
-    },
-    /// An engine that was to be heard has read all that had been sent to it before, or did not answer.
-    EngineHeard {
-        has_read: bool,
-    },
-    Engines(ListKind, Vec<Listed>),
-    /// The name service was listened to just now; its last usable answer is to a question of then, where there is a new one.
-    ListAsked(Option<Duration>),
-    /// The name service told a list of an earlier number.
-    ListDisputed(Vec<Listed>),
-    /// There is no name service to ask any longer.
-    ListStays,
-    /// What another gateway told.
-    Told(Event),
-    /// What another part of the fleet said, and from where.
-    Fleet(Envelope, SocketAddr),
-    /// How a write of what has to last of the fleet's policy went.
-    Kept {
-        generation: u64,
-        well: bool,
-    },
-    /// The gateway leaves the fleet: nothing more of it comes.
-    Depart,
-    /// Something may be due.
-    Wake,
-    /// The gateway will close: what it begins from now on has to be over by then.
-    Closing(Duration),
-    /// The gateway closes: what is still unanswered is aborted, and what yet comes is turned away.
-    Close,
-}
-
-/// What is known of an execution once its engine was told to end it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AfterCancel {
-    /// The engine had it, and has ended it.
-    Over,
-    /// The engine answers, but nothing shows that it had it: what was sent may wait in a connection that it has not read.
-    Unread,
-    /// The engine refused the connection: its process is gone.
-    Gone,
-    /// No connection came up to the engine's machine, for as long as an engine goes on with what nobody asks for, or until it answered
-    /// again and did not have it: it was cut off, and what it had not received by then it does not receive any more.
-    CutOff,
-    /// The engine did not answer.
-    Unknown,
-}
-
-/// An engine of the list, and where it listens.
-#[derive(Clone, Debug)]
-pub struct Listed {
-    pub entry: EngineEntry,
-    pub address: SocketAddr,
-}
-
-/// How an execution ended, as the engine or the network told.
-#[derive(Debug)]
-pub struct Ending {
-    pub outcome: Outcome,
-    /// Of a completed one, all pages in order.
-    pub pages: Vec<Bytes>,
-    pub took: Option<(Duration, f64)>,
-    pub report: Option<Report>,
-    /// It was sent on a connection that fell silent, and nothing shows that the engine has read it: it may do so yet.
-    pub unread: bool,
-}
-
-impl From<Outcome> for Ending {
-    fn from(outcome: Outcome) -> Ending {
-        Ending { outcome, pages: Vec::new(), took: None, report: None, unread: false }
-    }
-}
-
-/// The one final answer of a statement.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    Completed(Vec<Bytes>),
-    Rejected(Option<Duration>),
-    Aborted,
-    /// The id is that of a statement that is still held.
-    InUse,
-}
-
-#[derive(Debug)]
-pub enum Effect {
-    Answer {
-        caller: u64,
-        answer: Answer,
-    },
-    Start {
-        id: Id,
-        execution: usize,
-        engine: Id,
-        address: SocketAddr,
-        parcel: Rc<Parcel>,
-        mem_mb: f64,
-        timeout: Duration,
-        /// After this, as the clock shows it where it is sent, the leave for it is over.
-        not_after: Option<Duration>,
-    },
-    /// Nothing more is wanted of an execution: the engine is told, and no one listens any longer.
-    Stop {
-        id: Id,
-        execution: usize,
-        engine: Id,
-        address: SocketAddr,
-        cancel: Cancel,
-    },
-    Tell {
-        to: Option<u32>,
-        said: Said,
-    },
-    /// To be written to the record of what is out before whatever follows.
-    Record(outstanding::Write),
-    /// An engine is to be heard: whether it has read all that was sent to it before.
-    Hear {
-        address: SocketAddr,
-        /// Of no statement.
-        name: Id,
-        within: Duration,
-    },
-    /// To be kept before anything that rests on it is said.
-    Keep {
-        generation: u64,
-        bytes: Vec<u8>,
-    },
-    /// To another part of the fleet.
-    Say {
-        to: node::To,
-        envelope: Envelope,
-    },
-}
-
-/// How an engine is told to end an execution.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Cancel {
-    /// The engine has shown that it had it.
-    pub arrived: bool,
-    /// For how long an engine is told that does not answer.
-    pub within: Duration,
-    /// Something waits for the execution to be over. Until it has arrived it is asked for, not cancelled: a cancel that is read first
-    /// would hide it.
-    pub awaited: bool,
-}
-
 #[derive(Clone, Debug)]
 enum Due {
     Mark(u64),
@@ -320,13 +109,6 @@
     pub too_late: u64,
 }
 
-/// The fleet's policy: its machine, and what was last told of what it permits.
-struct Policy {
-    node: policy::Node,
-    names: Arc<Names>,
-    permit: policy::Permit,
-}
-
 pub struct Reducer {
     chooser: Chooser,
     /// Emptied of a statement when it has its answer and none of its executions is out.
@@ -432,29 +214,6 @@
         (reducer, effects)
     }
 
-    /// Takes its part in the fleet, with what a process before it may have out.
-    fn join(&mut self, now: Duration, part: Part) {
-        let Part { start, predecessor, slots } = part;
-        self.hearing = match predecessor {
-            Predecessor::Ended => None,
-            Predecessor::Unknown => Some(Hearing::start(now)),
-            Predecessor::Recorded(_) => Some(Hearing::start(now + KEEPER_FIRST)),
-        };
-        let (node, inherited) = Node::start_after(start, predecessor, now);
-        self.unsettled = Unsettled::with_record(slots);
-        let writes = self.unsettled.first_writes(&inherited);
-        self.effects.extend(writes.into_iter().map(Effect::Record));
-        let cancel = Cancel { arrived: false, within: node.unheard(), awaited: true };
-        for (Outstanding { id, execution, engine: address, .. }, name) in inherited {
-            let id = Id::from(id);
-            let engine = Id::from(address.to_string());
-            self.unsettled.inherit(id.clone(), execution, name);
-            self.effects.push(Effect::Stop { id, execution, engine, address, cancel });
-        }
-        self.fleet = Some(Box::new(node));
-        self.room_changed = true;
-    }
-
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
         self.refused.clear();
         // First of all: whatever comes is decided by the leave as it is now.
@@ -538,113 +297,6 @@
         self.fleet_due.into_iter().chain(own).min()
     }
 
-    /// Gives the fleet's machine its time, and the decisions what is left now where that has changed.
-    fn look_at_fleet(&mut self, now: Duration) {
-        let Some(node) = &mut self.fleet else { return };
-        if self.fleet_due.is_none_or(|due| now >= due) {
-            let said = node.tick(now);
-            self.carry_on(now, said);
-            self.tick_policy(now);
-            self.look_at_unsettled(now);
-        }
-        self.tell_room(now);
-    }
-
-    /// What can't run any more is dropped, and engines are heard while it is not known what a process before may have out.
-    fn look_at_unsettled(&mut self, now: Duration) {
-        let Some(node) = &self.fleet else { return };
-        self.effects.extend(self.unsettled.look(node).into_iter().map(Effect::Record));
-        if node.counts_all() {
-            self.hearing = None;
-        }
-        let (within, name) = (node.unheard(), Id::from(format!("{:016x}", node.incarnation().0)));
-        let next = self.hearing.as_mut().map(|hearing| hearing.next(now)).unwrap_or_default();
-        let hear = |address| Effect::Hear { address, name: name.clone(), within };
-        self.effects.extend(next.into_iter().map(hear));
-    }
-
-    fn engine_heard(&mut self, now: Duration, has_read: bool) {
-        let (Some(hearing), Some(node)) = (&mut self.hearing, &mut self.fleet) else { return };
-        hearing.heard(has_read);
-        if hearing.is_over() {
-            self.hearing = None;
-            node.engines_heard(now);
-            // The floors are there sooner.
-            self.room_changed = true;
-            self.tell_room(now);
-        }
-        self.look_at_unsettled(now);
-    }
-
-    fn tick_policy(&mut self, now: Duration) {
-        let (Some(policy), Some(node)) = (&mut self.policy, &self.fleet) else { return };
-        if now >= policy.node.due(now) {
-            let said = policy.node.tick(now, node.right(now));
-            self.carry_policy(now, said);
-        }
-    }
-
-    fn heard_of_policy(&mut self, now: Duration, party: Party, bytes: &[u8], from: SocketAddr) {
-        let (Some(policy), Some(node)) = (&mut self.policy, &self.fleet) else { return };
-        let Some(say) = policy::Say::read(bytes) else { return };
-        let (to, place) = match party {
-            Party::Seat(seat) => (node::To::Seat(seat), None),
-            Party::Place(place) => (node::To::Address(from), Some(place)),
-            Party::Tool => (node::To::Address(from), None),
-        };
-        let said = policy.node.heard(now, to, place, say, node.right(now));
-        self.carry_policy(now, said);
-    }
-
-    fn carry_policy(&mut self, now: Duration, effects: Vec<policy::Effect>) {
-        let (Some(policy), Some(node)) = (&mut self.policy, &mut self.fleet) else { return };
-        for effect in effects {
-            match effect {
-                policy::Effect::Say { to, say } => {
-                    let as_place = matches!(say, policy::Say::Ask(_));
-                    let envelope = node.wrap(Message::Policy(say.write()), as_place);
-                    self.effects.push(Effect::Say { to, envelope });
-                }
-                policy::Effect::Keep { generation, bytes } => {
-                    self.effects.push(Effect::Keep { generation, bytes })
-                }
-                policy::Effect::Permit => {}
-            }
-        }
-        let permit = policy.node.permit(now);
-        if permit != policy.permit {
-            policy.permit = permit;
-            self.room_changed = true;
-        }
-        self.tell_room(now);
-    }
-
-    fn carry_on(&mut self, now: Duration, effects: Vec<node::Effect>) {
-        for effect in effects {
-            match effect {
-                node::Effect::Say { to, envelope } => self.effects.push(Effect::Say { to, envelope }),
-                node::Effect::Room => self.room_changed = true,
-            }
-        }
-        self.tell_room(now);
-    }
-
-    fn tell_room(&mut self, now: Duration) {
-        let Some(node) = &mut self.fleet else { return };
-        if self.room_changed || self.room_due.is_some_and(|due| now >= due) {
-            self.room_changed = false;
-            // Before whatever else there is news of: nothing is decided by what was left before.
-            let permitted = self.policy.as_ref().map(|policy| {
-                let (permit, names) = (policy.permit.clone(), policy.names.clone());
-                Arc::new(Permitted { permit, names }) as Arc<dyn Permits>
-            });
-            self.news.push_front(Event::Room(node.room(now).where_also(permitted)));
-            self.room_due = node.room_due(now);
-        }
-        let policy = self.policy.as_ref().map(|policy| policy.node.due(now));
-        self.fleet_due = policy.into_iter().chain([node.due(now)]).min();
-    }
-
     /// The rule, if any, by which an execution may no longer go out, as its first byte is about to: a client may have left since
     /// it was decided, its engine begun to drain, the time for a repeat run out.
     pub fn lapsed(&self, now: Duration, id: &Id, execution: usize) -> Option<Rule> {
@@ -824,15 +476,6 @@
         }
     }
 
-    fn cancel_unheard(&self, id: &Id, execution: usize) -> Option<Cancel> {
-        let node = self.fleet.as_ref()?;
-        self.unsettled.contains(id, execution).then(|| Cancel {
-            arrived: false,
-            within: node.unheard(),
-            awaited: true,
-        })
-    }
-
     /// The engine of an execution that was given up was told so, or could not be.
     fn stopped(&mut self, now: Duration, id: &Id, execution: usize, after: AfterCancel) {
         let remains = match after {
@@ -856,14 +499,6 @@
         }
     }
 
-    fn settle_unheard(&mut self, now: Duration, id: &Id, execution: usize, remains: Remains) {
-        let Some(node) = &mut self.fleet else { return };
-        let Some(write) = self.unsettled.settle(now, node, (id, execution), remains) else { return };
-        self.effects.extend(write.map(Effect::Record));
-        self.room_changed = true;
-        self.tell_room(now);
-    }
-
     /// Gives an execution its one outcome; whatever else comes for it is dropped. What may remain of it at its engine counts on.
     fn end(&mut self, now: Duration, id: &Id, execution: usize, ending: Ending, remains: Remains) {
         let Some(stmt) = self.stmts.get_mut(id) else {
@@ -1041,16 +676,6 @@
         }
     }
 
-    /// What was rejected for want of leave is a need to be told.
-    fn was_refused(&mut self, now: Duration, id: &Id) {
-        let (Some(node), Some(stmt)) = (&mut self.fleet, self.stmts.get(id)) else { return };
-        let (workload, customer, mem_mb) = stmt.counts_as;
-        let weight = self.threads.get(workload).copied().unwrap_or(1.0);
-        let before = stmt.executions.len() as u32;
-        node.refused(now, &Claim { workload, customer, kind: "", weight, mem_mb, before });
-        self.fleet_due = Some(node.due(now));
-    }
-
     fn send(&mut self, now: Duration, id: Id, engine: Id, timeout: Duration) {
         let address = self.engines.get(&engine).map(|listed| listed.address);
         self.broken.check(Invariant::KnownEngine, address.is_some());
