--- a/crates/rig/tests/pauses.rs
+++ b/crates/rig/tests/pauses.rs
@@ -102,3 +102,34 @@
     let found: Vec<String> = records.judge().iter().map(ToString::to_string).collect();
     assert!(found.is_empty(), "{found:#?}");
 }
+
+/// Guards against what is decided before a pause and done after it: a process that is stopped in short turns keeps every rule while
+/// engines drain and clients leave.
+#[test]
+fn a_process_stopped_in_short_turns_keeps_the_rules() {
+    let program = Path::new(env!("CARGO_BIN_EXE_bramblewharf-rig"));
+    // With second copies allowed, and forbidden.
+    for seed in [4, 5] {
+        stopped_in_short_turns(seed, program);
+    }
+}
+
+fn stopped_in_short_turns(seed: u64, program: &Path) {
+    let mut fleet = Fleet::start(1, 4, seed, program).unwrap();
+    let clients = vec![fleet.clients(0, 60, 20 * MS)];
+    fleet.run(800 * MS).unwrap();
+    for round in 0..24u32 {
+        if round % 6 == 2 {
+            let engine = (round / 6) as usize;
+            fleet.cause(Fault::Drain { engine, ends_after: 2000 * MS }).unwrap();
+        }
+        fleet.gateways[0].stop();
+        fleet.run((100 + round % 5 * 40) * MS).unwrap();
+        fleet.gateways[0].go_on();
+        fleet.run((2 + round % 7 * 12) * MS).unwrap();
+    }
+    fleet.run(800 * MS).unwrap();
+    let records = fleet.finish(clients).unwrap();
+    let found: Vec<String> = records.judge().iter().map(ToString::to_string).collect();
+    assert!(found.is_empty(), "seed {seed}: {found:#?}");
+}
