Another statement under an id that has just ended is refused

Mend: ids of statements that ended are kept for 3 s, as many at most as statements may be held, with a fingerprint of what they asked for. Another statement is refused as for an id in use; the same one may come again, as before.

--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -1,6 +1,7 @@
 //! The one place where the gateway's state changes: `(state, input, now) -> effects`, without I/O, clock or
 //! await. It owns the decisions, the statements and their executions; the runtime carries out what it asks for.
 
+mod ended;
 mod fleet;
 mod io;
 
@@ -15,6 +16,7 @@
 use bramblewharf_fleet::wire::Message;
 use bramblewharf_fleet::Envelope;
 use bramblewharf_policy as policy;
+use ended::{Fingerprint, RecentlyEnded};
 use fleet::Policy;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -73,6 +75,7 @@
 
 struct Stmt {
     caller: u64,
+    fingerprint: Fingerprint,
     parcel: Rc<Parcel>,
     mem_mb: f64,
     /// As budgets see it: workload, customer and memory (MB).
@@ -113,6 +116,9 @@
     chooser: Chooser,
     /// Emptied of a statement when it has its answer and none of its executions is out.
     stmts: HashMap<Id, Stmt>,
+    recently_ended: RecentlyEnded,
+    /// The time of the step that is under way.
+    now: Duration,
     open: usize,
     most: usize,
     one_at_a_time: bool,
@@ -182,6 +188,8 @@
             one_at_a_time,
             tick,
             stmts: HashMap::new(),
+            recently_ended: RecentlyEnded::new(most),
+            now,
             open: 0,
             most,
             engines: HashMap::new(),
@@ -216,6 +224,7 @@
 
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
         self.refused.clear();
+        self.now = now;
         // First of all: whatever comes is decided by the leave as it is now.
         self.look_at_fleet(now);
         match input {
@@ -389,7 +398,9 @@
 
     fn take(&mut self, now: Duration, taken: Taken) {
         let Taken { caller, mut said, parcel } = taken;
-        if self.stmts.contains_key(&said.id) {
+        let fingerprint = Fingerprint::of(&parcel);
+        if self.stmts.contains_key(&said.id) || self.recently_ended.was_of_another(now, &said.id, fingerprint)
+        {
             self.counts.id_in_use += 1;
             return self.effects.push(Effect::Answer { caller, answer: Answer::InUse });
         }
@@ -404,6 +415,7 @@
         said.time_left = said.time_left.saturating_sub(ON_ITS_WAY);
         let stmt = Stmt {
             caller,
+            fingerprint,
             parcel: Rc::new(parcel),
             mem_mb: 0.0,
             counts_as: (said.workload, said.customer, said.est_mem_mb.unwrap_or(0.0)),
@@ -449,12 +461,11 @@
     }
 
     fn forget(&mut self, id: &Id) {
-        if self
-            .stmts
-            .get(id)
-            .is_some_and(|s| s.open.is_none() && s.executions.iter().all(|x| x.out.is_none()))
-        {
-            self.stmts.remove(id);
+        let is_over = |s: &Stmt| s.open.is_none() && s.executions.iter().all(|x| x.out.is_none());
+        if self.stmts.get(id).is_some_and(is_over) {
+            if let Some(stmt) = self.stmts.remove(id) {
+                self.recently_ended.add(self.now, id.clone(), stmt.fingerprint);
+            }
         }
     }
 
--- a/crates/gateway/tests/reducer.rs
+++ b/crates/gateway/tests/reducer.rs
@@ -595,6 +595,41 @@
     assert!(matches!(&effects[..], [Effect::Start { not_after: None, .. }]), "no fleet, no end");
 }
 
+fn of_another_text(id: &str, caller: u64) -> Input {
+    let Input::Statement(mut taken) = statement(id, caller, 0, 900) else { panic!("a statement") };
+    taken.parcel.text = Text::Whole("SELECT another".into());
+    Input::Statement(taken)
+}
+
+/// Guards against a call under the id of a statement that is just over, with another statement, that is served as its own.
+#[test]
+fn another_statement_under_an_id_that_has_just_ended_is_refused() {
+    let mut r = reducer(true, 99);
+    assert_eq!(sent(&r.step(START, statement("s", 1, 0, 900))), 1);
+    assert_eq!(answers(r.step(START + ms(5), completed("s"))).len(), 1);
+    // Its client may well call again with the same.
+    assert_eq!(answers(r.step(START + ms(10), of_another_text("s", 2))), vec![(2, Answer::InUse)]);
+    assert_eq!(sent(&r.step(START + ms(11), statement("s", 3, 0, 900))), 1);
+    r.step(START + ms(15), completed("s"));
+    assert_eq!(answers(r.step(START + ms(2000), of_another_text("s", 4))), vec![(4, Answer::InUse)]);
+    assert_eq!(sent(&r.step(START + ms(3100), of_another_text("s", 5))), 1, "not for ever");
+    assert_eq!(r.counts.id_in_use, 2);
+}
+
+/// What is remembered of ids is bounded.
+#[test]
+fn the_latest_that_ended_are_remembered_and_no_more() {
+    let mut r = reducer(true, 4);
+    for number in 0..9 {
+        let id = format!("s{number}");
+        assert_eq!(sent(&r.step(START, statement(&id, number, 0, 900))), 1);
+        r.step(START + ms(1), completed(&id));
+    }
+    let later = |r: &mut Reducer, id: &str| answers(r.step(START + ms(2), of_another_text(id, 99)));
+    assert_eq!(later(&mut r, "s8"), vec![(99, Answer::InUse)]);
+    assert_eq!(later(&mut r, "s0"), vec![]);
+}
+
 /// A process before this one left a record of what it had out.
 fn after_a_kill(predecessor: Predecessor, whole: u64) -> (Reducer, Vec<Effect>) {
     let start = alone(Scope::default(), Measure::StatementsAtOnce, whole);
