A text without a fingerprint shows nothing of an id that has just ended

Texts that are not here as a whole have no fingerprint, and that was taken for another statement. Now only two that are known and differ show that. The test is unchanged and passes.

--- a/crates/gateway/src/reducer/ended.rs
+++ b/crates/gateway/src/reducer/ended.rs
@@ -41,10 +41,11 @@
         self.order.push_back((now, id));
     }
 
-    /// Whether another statement had that id a moment ago.
+    /// Whether it shows that another statement had that id a moment ago.
     pub fn was_of_another(&mut self, now: Duration, id: &Id, fingerprint: Fingerprint) -> bool {
         self.drop_old(now);
-        self.by_id.get(id).is_some_and(|(_, before)| before.0.is_none() || *before != fingerprint)
+        let before = self.by_id.get(id).and_then(|(_, before)| before.0);
+        before.zip(fingerprint.0).is_some_and(|(before, now)| before != now)
     }
 
     fn drop_old(&mut self, now: Duration) {
