--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -180,6 +180,8 @@
     pub key: Option<String>,
     pub text: Vec<u8>,
     pub at: Instant,
+    /// `X-Max-Ms`.
+    pub max_wait: Duration,
 }
 
 pub type Work = Arc<dyn Fn(&Begun) -> Duration + Send + Sync>;
@@ -268,6 +270,7 @@
                 key: call.field("x-nonce").map(String::from),
                 text: call.body.clone(),
                 at: now,
+                max_wait: Duration::from_millis(call.field("x-max-ms").and_then(|ms| ms.parse().ok()).unwrap_or(0)),
             };
             let takes = work(&begun);
             record.line(format!(
