--- a/review/standins/hang.rs
+++ b/review/standins/hang.rs
@@ -13,7 +13,7 @@
 
 const NODES: usize = 6;
 /// How many new connections wait at a node that does not accept them.
-const QUEUE: i32 = 32;
+const QUEUE: i32 = 64;
 const CLIENTS: u64 = 40;
 const QUIET: Duration = Duration::from_secs(8);
 const HANG: Duration = Duration::from_secs(16);
