--- a/review/standins/memory.rs
+++ b/review/standins/memory.rs
@@ -66,6 +66,10 @@
 }
 
 fn main() -> ExitCode {
+    run(case)
+}
+
+fn case() -> ExitCode {
     let (root, folder) = places();
     let record = Record::create(&folder.join("record.txt"));
     let temporary = Folder::new("memory");
--- a/review/standins/pipeline.rs
+++ b/review/standins/pipeline.rs
@@ -19,6 +19,10 @@
 const SLACK: Duration = Duration::from_millis(50);
 
 fn main() -> ExitCode {
+    run(case)
+}
+
+fn case() -> ExitCode {
     let (root, folder) = places();
     let record = Record::create(&folder.join("record.txt"));
     let temporary = Folder::new("pipeline");
@@ -65,6 +69,9 @@
         let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
         let mut read = BufReader::new(stream);
         for id in ids {
+            // No answer is waited for longer than 10 s after all were sent.
+            let left = Duration::from_secs(10).saturating_sub(sent.elapsed()).max(Duration::from_millis(1));
+            let _ = read.get_ref().set_read_timeout(Some(left));
             let end = match read_message(&mut read) {
                 Ok(Some(answer)) if answer.status() == 200 => {
                     let body = String::from_utf8_lossy(&answer.body).into_owned();
@@ -73,6 +80,7 @@
                         None => Outcome::Served,
                         Some(link) => {
                             let mut other = TcpStream::connect(address).expect("connect");
+                            let _ = other.set_read_timeout(Some(left));
                             let _ = other.write_all(format!("GET {link} HTTP/1.1\r\nHost: origin.svc\r\n\r\n").as_bytes());
                             match read_message(&mut BufReader::new(other)) {
                                 Ok(Some(answer)) if answer.status() == 200 => Outcome::Served,
