The queue of the log holds the lines that are documented, not 64 times as many

Cause: cli.rs asked whether the level is at least debug, the wrong way round: slog's is_at_least holds for info too, so every gateway got the queue that is meant for debug.

Change: the question is turned round.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -82,7 +82,8 @@
 
 /// Environment variable with the minimum log level, as slog names it; `debug` traces each statement.
 const LOG_LEVEL_VARIABLE: &str = "BRAMBLEWHARF_LOG";
-/// Capacity of the log queue. At `debug`, several lines per statement are written, so the queue is larger.
+/// Capacity of the log queue in lines. All of it is allocated at the start. At `debug`, several lines per statement
+/// are written, so the queue is larger.
 const LOG_QUEUE: usize = 1024;
 const LOG_QUEUE_DEBUG: usize = 64 * 1024;
 
@@ -94,7 +95,7 @@
             level.parse().map_err(|()| format!("{LOG_LEVEL_VARIABLE}: {level} is not a log level"))?
         }
     };
-    let queue = if level.is_at_least(Level::Debug) { LOG_QUEUE_DEBUG } else { LOG_QUEUE };
+    let queue = if Level::Debug.is_at_least(level) { LOG_QUEUE_DEBUG } else { LOG_QUEUE };
     let format = slog_term::FullFormat::new(slog_term::PlainSyncDecorator::new(std::io::stderr()));
     let drain = slog_async::Async::new(format.build().fuse()).chan_size(queue).build();
     Ok(Logger::root(LevelFilter::new(drain, level).fuse(), slog::o!()))
