Calls that are arriving are taken in by steps and counted in memory under a bound

Cause, by a heap profile at the kill (250 bad clients, 208 MB): 101 MB in the queue of the HTTP server's payload (32 bytes a chunk of a byte, in a queue that doubles to 524 KB and does not shrink), 100 MB in intake.rs's list of the same pieces, 19 MB in read buffers that the pieces keep, 5.6 MB in the connections. The text itself is a sixth of the read buffers. The same class, found by the new test: calls sent behind a statement are decoded at once, 3.6 MB a connection (279 MB from 77 clients at 32 MB).

Change: connection/client_reader.rs hands the server one call at a time, and of a body a step (4 KiB; 1 KiB of chunks) once the step before it is copied into one buffer of the text. What follows a call stays in the socket, 4 KiB of it read ahead. Heads, lines and texts beyond those of an ordinary call are held only with a grant of call_memory.rs (a module of the policy: capacity, order, who gives way); without one their bytes stay unread, and where others wait for it the call with the most memory over time is answered Busy, 0.2 s after it began at the earliest. config.rs works the bounds out from what a connection and a statement were measured to take. connection.rs is split (line ends, lingering close, reading).

--- a/crates/gateway/src/closes.rs
+++ b/crates/gateway/src/closes.rs
@@ -15,18 +15,21 @@
     Refused,
     /// It was closed to make room at the connection limit.
     AtBound,
+    /// There was no memory for the call that was arriving on it.
+    NoMemory,
     /// The answer of an engine was late, cut off or malformed.
     Irregular,
     /// The gateway is shutting down.
     ShutDown,
 }
 
-const ALL: [CloseReason; 7] = [
+const ALL: [CloseReason; 8] = [
     CloseReason::Done,
     CloseReason::Idle,
     CloseReason::SlowHead,
     CloseReason::Refused,
     CloseReason::AtBound,
+    CloseReason::NoMemory,
     CloseReason::Irregular,
     CloseReason::ShutDown,
 ];
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -30,6 +30,8 @@
     pub engines: usize,
     /// Statements in progress at a time.
     pub stmts: usize,
+    /// Memory of calls that are arriving, beyond what each connection may hold anyway, in bytes.
+    pub call_memory: u64,
     /// Bytes of a statement.
     pub statement: usize,
     /// Bytes of a result page.
@@ -111,9 +113,22 @@
 const PAGE_BYTES: usize = 8 * 1024;
 const RESULT_BYTES: usize = 64 * 1024;
 const MAX_PAGES: usize = 32;
-/// Memory beside statements and connections (the program and its runtime use 6 MB), and the buffers of one connection.
-const BASE_MEMORY_BYTES: f64 = 8e6;
-const CONNECTION_MEMORY_BYTES: f64 = 24e3;
+/// Memory beside statements and connections: the program, its runtime and its log.
+const BASE_MEMORY_BYTES: f64 = 10e6;
+/// Memory of a client's connection with an ordinary call that is arriving on it.
+const CLIENT_MEMORY_BYTES: f64 = 36e3;
+/// Memory of a pooled connection to an engine that carries no call.
+const IDLE_ENGINE_MEMORY_BYTES: f64 = 1e3;
+/// Memory of a statement in progress whose text and result are of ordinary size, with its connections to engines.
+const STATEMENT_MEMORY_BYTES: f64 = 100e3;
+/// Share of the memory for statements that texts, results and heads of more than ordinary size use.
+const LARGE_CALL_SHARE: f64 = 0.5;
+/// Least memory of these: one call at all its limits.
+const MIN_CALL_MEMORY_BYTES: f64 = 1e6;
+/// Clients hold a third of the descriptors at most: no less than this share is for their connections.
+const MIN_CLIENT_SHARE: f64 = 0.36;
+/// The least number of statements in progress.
+const MIN_STATEMENTS: usize = 16;
 /// Defaults for connections to engines.
 const DEFAULT_DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 const DEFAULT_ENGINE_IDLE: Duration = Duration::from_secs(15);
@@ -293,18 +308,24 @@
         return Err(format!("limits.sockets: bodies.files takes {descriptors}, more than half of them"));
     }
     let (memory, sockets) = (memory - pool as f64, sockets - descriptors);
-    let clients = (sockets as f64 * CLIENT_SHARE) as usize;
+    let available = memory - BASE_MEMORY_BYTES;
+    let reserved = MIN_STATEMENTS as f64 * STATEMENT_MEMORY_BYTES + MIN_CALL_MEMORY_BYTES;
+    let clients = (sockets as f64 * CLIENT_SHARE)
+        .min((available - reserved) / CLIENT_MEMORY_BYTES)
+        .max(sockets as f64 * MIN_CLIENT_SHARE) as usize;
     let engines = sockets - RESERVED_DESCRIPTORS - clients;
-    let statement_memory =
-        (memory - BASE_MEMORY_BYTES - (clients + engines) as f64 * CONNECTION_MEMORY_BYTES).max(4e6);
-    let by_memory = (statement_memory / (STATEMENT_BYTES + 3 * RESULT_BYTES) as f64) as usize;
+    let available =
+        available - clients as f64 * CLIENT_MEMORY_BYTES - engines as f64 * IDLE_ENGINE_MEMORY_BYTES;
+    let by_memory = (available * (1.0 - LARGE_CALL_SHARE) / STATEMENT_MEMORY_BYTES).max(0.0) as usize;
     // An execution uses one connection and its cancellation another. A share of the client connections stays free for
     // statements that are rejected.
-    let stmts = (engines * 4 / 5).min(clients * 3 / 4).min(by_memory.max(16));
+    let stmts = (engines * 4 / 5).min(clients * 3 / 4).min(by_memory.max(MIN_STATEMENTS));
+    let call_memory = (available - stmts as f64 * STATEMENT_MEMORY_BYTES).max(MIN_CALL_MEMORY_BYTES);
     Ok(Bounds {
         clients,
         engines,
         stmts: max_open.map_or(stmts, |most| stmts.min(most as usize)),
+        call_memory: call_memory as u64,
         statement: STATEMENT_BYTES,
         page: PAGE_BYTES,
         result: RESULT_BYTES,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -2,17 +2,24 @@
 //! silent peers that would hold file descriptors, and against reusing a pooled connection while the peer
 //! closes it.
 
+mod call_memory;
+mod client_reader;
+mod head_scan;
+mod linger;
+
 use crate::closes::{CloseCounts, CloseReason};
 use crate::exchange::Exchange;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
-use actix_rt::time::{sleep, timeout};
-use bytes::{Buf as _, BytesMut};
+use bramblewharf::call_memory::Effect as MemoryEffect;
+use bytes::BytesMut;
+pub use call_memory::{CallMemoryBook, MemoryClaim};
+pub use client_reader::BodyFraming;
 use futures_util::FutureExt as _;
+use head_scan::HeadScan;
+use linger::Linger;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::fmt;
 use std::io;
-use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
@@ -35,20 +42,26 @@
     call_count: Cell<u64>,
     head_begun_at: Cell<Option<Instant>>,
     head_scan: Cell<HeadScan>,
-    /// Bytes of the next call have arrived while one is open; their line ends are not checked.
-    read_ahead: Cell<bool>,
+    /// Client connections only: the length of that head so far.
+    head_length: Cell<usize>,
     /// A call was refused: no further call is read, and the rest of that one is discarded so that the client
     /// can read why.
     refused: Cell<bool>,
-    /// Client connections only: bytes that arrived after the head of a call, deferred until that call is
-    /// open, as they may not belong to it.
+    /// Client connections only: bytes that are not handed on yet. They arrived behind the head of a call that
+    /// is not open yet, behind a call that is complete, or wait for memory.
     deferred: RefCell<BytesMut>,
     /// The head of a call has arrived and the call is not open yet; nothing more is read meanwhile.
     head_complete: Cell<bool>,
     /// The write side is shut down.
     write_closed: Cell<bool>,
-    /// How many bytes may still be read while a call is open: bounds what a client can send ahead.
+    /// Client connections only: what is still to come of the body of the open call.
+    body: Cell<BodyFraming>,
+    /// How many bytes of that body may be handed on now; after a refusal, how many may be discarded.
     read_allowance: Cell<usize>,
+    /// Client connections only: the memory held for the call that is arriving.
+    memory: Option<MemoryClaim>,
+    /// The socket does not take what is written at present.
+    write_blocked: Cell<bool>,
     /// Engine connections only: validates the answers. Reads and writes then reset the idle time.
     exchange: Option<RefCell<Exchange>>,
     /// The first byte of the current or last call was written.
@@ -68,42 +81,15 @@
     close_counts: Rc<CloseCounts>,
 }
 
-/// Position of the scan for line ends in the head of a call.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum HeadScan {
-    InLine,
-    /// After a carriage return within a line.
-    CarriageReturn,
-    LineStart,
-    /// After a carriage return at the start of a line.
-    LineStartCarriageReturn,
-    /// The head is complete, or none has begun.
-    Complete,
-    /// A line feed without a carriage return.
-    BareLineFeed,
-}
-
-impl HeadScan {
-    fn after(self, byte: u8) -> HeadScan {
-        match (self, byte) {
-            (HeadScan::Complete | HeadScan::BareLineFeed, _) => self,
-            (HeadScan::LineStartCarriageReturn, b'\n') => HeadScan::Complete,
-            (HeadScan::CarriageReturn, b'\n') => HeadScan::LineStart,
-            (_, b'\n') => HeadScan::BareLineFeed,
-            (HeadScan::LineStart, b'\r') => HeadScan::LineStartCarriageReturn,
-            (_, b'\r') => HeadScan::CarriageReturn,
-            _ => HeadScan::InLine,
-        }
-    }
-}
-
+/// Answers a call that is rejected before it has arrived.
+const NO_MEMORY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
+    content-length: 16\r\ncontent-type: application/json\r\n\r\n{\"abort\":\"Busy\"}";
 /// How many bytes of a refused call are read and discarded at most.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 
 impl Connection {
-    /// Marks a call as open and allows `allowed` more bytes to be read. Returns when the call began to
-    /// arrive.
-    pub fn begin_call(&self, allowed: usize) -> Instant {
+    /// Marks a call as open, whose body is framed like this. Returns when the call began to arrive.
+    pub fn begin_call(&self, body: BodyFraming) -> Instant {
         let idle_since = self.idle_since.take().unwrap_or_else(Instant::now);
         let first = self.call_count.replace(self.call_count.get() + 1) == 0;
         let begun = self.head_begun_at.take().filter(|_| !first).unwrap_or(if first {
@@ -111,33 +97,67 @@
         } else {
             Instant::now()
         });
-        self.read_allowance.set(allowed);
-        self.read_ahead.set(false);
+        self.body.set(body);
+        self.read_allowance.set(body.step());
         if self.head_complete.take() {
             self.wake();
         }
         begun
     }
 
-    /// Sets how many more bytes of the open call may be read.
-    pub fn set_read_allowance(&self, allowed: usize) {
-        self.read_allowance.set(allowed);
+    /// What was handed on of the body of the open call has been copied: the next part may follow.
+    pub fn allow_next_step(&self) {
+        if self.read_allowance.get() > 0 || self.body.get() == BodyFraming::Complete {
+            return;
+        }
+        self.read_allowance.set(self.body.get().step());
+        if let Some(memory) = &self.memory {
+            memory.update(|arriving| arriving.body_lines = 0);
+        }
+        self.wake();
+    }
+
+    /// The open call has been received completely: what follows belongs to the next call, of which a part is
+    /// read for now. The text is no longer part of what is arriving.
+    pub fn call_received(&self) {
+        self.body.set(BodyFraming::Complete);
+        if let Some(memory) = &self.memory {
+            memory.update(|arriving| arriving.text_bytes = 0);
+            memory.mark_arrived();
+        }
+        self.wake();
+    }
+
+    /// The memory held for the call that is arriving, on a client connection.
+    pub fn memory(&self) -> Option<&MemoryClaim> {
+        self.memory.as_ref()
+    }
+
+    /// Carries out a decision on the memory of the call that is arriving.
+    fn run_memory_effect(&self, effect: &MemoryEffect) {
+        let Some(memory) = &self.memory else { return };
+        match effect {
+            MemoryEffect::Resume(_) => memory.resume(),
+            MemoryEffect::Reject(_) if self.idle_since.get().is_none() => memory.reject(),
+            MemoryEffect::Reject(_) => self.reject_head(),
+        }
+        self.wake();
     }
 
-    /// The open call has been received completely: what follows belongs to the next call, of which at most
-    /// `allowed` bytes are read for now.
-    pub fn call_received(&self, allowed: usize) {
-        self.read_allowance.set(allowed);
-        self.read_ahead.set(false);
+    /// Rejects a call whose head has not arrived completely, if one has begun, and closes the connection.
+    fn reject_head(&self) {
+        if self.head_begun_at.get().is_some() && !self.write_blocked.get() {
+            // As much as the socket takes: the connection is closed either way.
+            let _ = self.stream.borrow().as_ref().map(|stream| stream.try_write(NO_MEMORY_RESPONSE));
+        }
+        self.close(CloseReason::NoMemory);
     }
 
     /// Marks the call as over; its answer is being written.
     pub fn end_call(&self) {
         self.idle_since.set(Some(Instant::now()));
-        if self.read_ahead.get() {
-            self.head_begun_at.set(Some(Instant::now()));
-            self.head_scan.set(HeadScan::Complete);
-        }
+        self.body.set(BodyFraming::Complete);
+        self.memory.iter().for_each(MemoryClaim::end_call);
         self.wake();
     }
 
@@ -157,40 +177,6 @@
         self.head_scan.get() == HeadScan::BareLineFeed
     }
 
-    /// Scans the arriving head of a client's call up to the empty line. Returns how many of the bytes may be
-    /// handed on now: what follows the head waits until the call is open.
-    fn scan_head(&self, bytes: &[u8]) -> usize {
-        if self.idle_since.get().is_none() {
-            self.read_ahead.set(true);
-            return bytes.len();
-        }
-        if self.head_begun_at.get().is_none() {
-            self.head_begun_at.set(Some(Instant::now()));
-            self.head_scan.set(HeadScan::LineStart);
-        }
-        for (at, byte) in bytes.iter().enumerate() {
-            let before = self.head_scan.replace(self.head_scan.get().after(*byte));
-            if before != HeadScan::Complete && self.head_scan.get() == HeadScan::Complete {
-                self.head_complete.set(true);
-                return at + 1;
-            }
-        }
-        bytes.len()
-    }
-
-    /// Returns once the peer has closed its side.
-    pub async fn wait_for_end(&self) {
-        while !self.peer_ended.get() {
-            if !self.read_paused.get() {
-                self.end_notify.notified().await;
-            } else if self.has_hung_up() {
-                return;
-            } else {
-                let _ = timeout(HANG_UP_CHECK_INTERVAL, self.end_notify.notified()).await;
-            }
-        }
-    }
-
     /// Whether the peer has closed its side, even with unread bytes before the end.
     fn has_hung_up(&self) -> bool {
         let stream = self.stream.borrow();
@@ -307,7 +293,8 @@
     /// Whether a call has begun to arrive on the idle connection and is not read yet.
     pub fn has_pending_input(&self) -> bool {
         let is_idle = !self.refused.get() && self.head_begun_at.get().is_none();
-        is_idle && self.stream.borrow().as_ref().is_some_and(|stream| !is_quiet(stream))
+        let has_unread = || self.stream.borrow().as_ref().is_some_and(|stream| !is_quiet(stream));
+        is_idle && (!self.deferred.borrow().is_empty() || has_unread())
     }
 
     fn idle_for(&self) -> Option<Duration> {
@@ -364,39 +351,6 @@
         self.wake();
     }
 
-    /// Reads a client's next bytes, from the deferred ones or from the socket.
-    fn poll_call(
-        &self,
-        stream: &mut TcpStream,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let deferred = &mut *self.deferred.borrow_mut();
-        if deferred.is_empty() {
-            std::task::ready!(Pin::new(stream).poll_read(cx, buf))?;
-        } else {
-            let length = deferred.len().min(buf.remaining());
-            buf.put_slice(&deferred[..length]);
-            deferred.advance(length);
-        }
-        let length = buf.filled().len() - before;
-        if length == 0 {
-            self.peer_ended.set(true);
-            self.end_notify.notify_one();
-            return Poll::Ready(Ok(()));
-        }
-        self.read_allowance.set(self.read_allowance.get().saturating_sub(length));
-        let readable = self.scan_head(&buf.filled()[before..]);
-        if readable < length {
-            let rest = BytesMut::from(&buf.filled()[before + readable..]);
-            let following = std::mem::replace(deferred, rest);
-            deferred.extend_from_slice(&following);
-            buf.set_filled(before + readable);
-        }
-        Poll::Ready(Ok(()))
-    }
-
     /// Reads and discards what a client still sends after a refusal, up to a bound, so that it can read the
     /// refusal.
     fn poll_discard(&self, stream: &mut TcpStream, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -418,77 +372,6 @@
 
 /// How often a connection with paused reads is checked for a close by the peer.
 const HANG_UP_CHECK_INTERVAL: Duration = Duration::from_millis(30);
-/// How often lingering connections are read.
-const LINGER_READ_INTERVAL: Duration = Duration::from_millis(10);
-
-/// Connections in a lingering close: shut down for writing at once, then read until the peer closes, as
-/// closing with unread bytes sends a reset, which destroys an answer that is still on its way. What is read
-/// is discarded. A connection is dropped once its peer has closed, after `LINGER_TIMEOUT`, or as the oldest
-/// when there are more than `max_streams`.
-pub struct Linger {
-    streams: RefCell<VecDeque<Lingering>>,
-    max_streams: Cell<usize>,
-    stream_added: Notify,
-}
-
-struct Lingering {
-    stream: TcpStream,
-    released_at: Instant,
-    bytes_read: usize,
-}
-
-impl Lingering {
-    fn is_finished(&mut self) -> bool {
-        let mut bytes = [0; 4096];
-        while self.released_at.elapsed() < LINGER_TIMEOUT && self.bytes_read < MAX_DISCARDED_BYTES {
-            match self.stream.try_read(&mut bytes) {
-                Ok(0) => return true,
-                Ok(read) => self.bytes_read += read,
-                Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
-            }
-        }
-        true
-    }
-}
-
-impl Linger {
-    fn new(max_streams: usize) -> Rc<Linger> {
-        Rc::new(Linger {
-            streams: RefCell::default(),
-            max_streams: Cell::new(max_streams),
-            stream_added: Notify::new(),
-        })
-    }
-
-    fn add(&self, stream: TcpStream) {
-        if socket2::SockRef::from(&stream).shutdown(Shutdown::Write).is_err() {
-            return;
-        }
-        let mut streams = self.streams.borrow_mut();
-        if streams.len() >= self.max_streams.get() {
-            streams.pop_front();
-        }
-        streams.push_back(Lingering { stream, released_at: Instant::now(), bytes_read: 0 });
-        self.stream_added.notify_one();
-    }
-
-    /// The number of lingering connections.
-    pub fn count(&self) -> usize {
-        self.streams.borrow().len()
-    }
-
-    /// Reads the lingering connections for as long as it is polled.
-    pub async fn run(&self) {
-        loop {
-            self.stream_added.notified().await;
-            while self.count() > 0 {
-                self.streams.borrow_mut().retain_mut(|lingering| !lingering.is_finished());
-                sleep(LINGER_READ_INTERVAL).await;
-            }
-        }
-    }
-}
-
 /// Whether neither unread bytes nor the end of the stream wait on the socket.
 pub fn is_quiet(stream: &TcpStream) -> bool {
     let mut byte = [std::mem::MaybeUninit::uninit()];
@@ -537,11 +420,19 @@
     idle_timeout: Duration,
     /// Engine connections only: the longest answer, in bytes.
     max_answer: Option<usize>,
+    /// Client connections only: the memory of calls that are arriving.
+    call_memory: Option<Rc<CallMemoryBook>>,
 }
 
 impl Connections {
-    /// `max_lingering`: how many connections may be in a lingering close at once.
-    pub fn for_clients(max_lingering: usize, head_timeout: Duration, idle_timeout: Duration) -> Connections {
+    /// `max_lingering`: how many connections may be in a lingering close at once. `call_memory`: bytes for the
+    /// calls that are arriving, beyond what each connection may have anyway.
+    pub fn for_clients(
+        max_lingering: usize,
+        call_memory: u64,
+        head_timeout: Duration,
+        idle_timeout: Duration,
+    ) -> Connections {
         let linger = Linger::new(max_lingering);
         Connections {
             connections: RefCell::default(),
@@ -550,6 +441,7 @@
             head_timeout,
             idle_timeout,
             max_answer: None,
+            call_memory: Some(CallMemoryBook::new(call_memory)),
         }
     }
 
@@ -563,6 +455,7 @@
             head_timeout: idle_timeout,
             idle_timeout,
             max_answer: Some(max_answer),
+            call_memory: None,
         }
     }
 
@@ -577,10 +470,13 @@
             call_count: Cell::new(0),
             head_begun_at: Cell::new(None),
             head_scan: Cell::new(HeadScan::Complete),
-            read_ahead: Cell::new(false),
+            head_length: Cell::new(0),
             refused: Cell::new(false),
             write_closed: Cell::new(false),
+            body: Cell::new(BodyFraming::Complete),
             read_allowance: Cell::new(0),
+            memory: self.call_memory.as_ref().map(CallMemoryBook::claim),
+            write_blocked: Cell::new(false),
             exchange: self.max_answer.map(|max_answer| RefCell::new(Exchange::new(max_answer))),
             first_byte_sent: Cell::new(false),
             send_prepared_at: Cell::new(None),
@@ -598,6 +494,29 @@
         TrackedStream(connection)
     }
 
+    /// Carries out the decisions on the memory of calls, for as long as it is polled.
+    pub async fn run_call_memory(&self) {
+        let Some(book) = &self.call_memory else { return };
+        loop {
+            for effect in book.next_effects().await {
+                let (MemoryEffect::Resume(number) | MemoryEffect::Reject(number)) = effect;
+                let is_meant = |connection: &&Rc<Connection>| {
+                    connection.memory.as_ref().is_some_and(|memory| memory.number() == number)
+                };
+                self.live()
+                    .iter()
+                    .find(is_meant)
+                    .into_iter()
+                    .for_each(|connection| connection.run_memory_effect(&effect));
+            }
+        }
+    }
+
+    /// The memory of calls that are arriving, of client connections.
+    pub fn call_memory(&self) -> Option<&CallMemoryBook> {
+        self.call_memory.as_deref()
+    }
+
     /// Closes connections whose timeout has passed, unless unread bytes wait on them. To be called
     /// periodically.
     pub fn close_idle(&self) {
@@ -664,41 +583,20 @@
 impl AsyncRead for TrackedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let connection = &self.0;
-        let bounded = connection.idle_since.get().is_none() || connection.refused.get();
-        let allowance_used_up = bounded && connection.read_allowance.get() == 0;
         let mut stream = connection.stream.borrow_mut();
         let Some(stream) = stream.as_mut() else {
             // An answer that this side cut off is incomplete too.
             let cut = || Err(io::ErrorKind::ConnectionAborted.into());
             return Poll::Ready(connection.exchange.as_ref().map_or(Ok(()), |_| cut()));
         };
-        if let Some(exchange) = &connection.exchange {
-            let read = connection.poll_answer(&mut exchange.borrow_mut(), stream, cx, buf);
-            match &read {
-                Poll::Pending => *connection.reader_waker.borrow_mut() = Some(cx.waker().clone()),
-                Poll::Ready(_) => connection.touch(),
-            }
-            return read;
-        }
-        let paused = allowance_used_up && connection.idle_since.get().is_none();
-        // Notify only when the pause begins: `wait_for_end` may run in the task that polls this, and would
-        // wake it for ever.
-        let newly_paused = paused && !connection.read_paused.replace(paused);
-        connection.read_paused.set(paused);
-        let read = if connection.refused.get() {
-            connection.poll_discard(stream, cx)
-        } else if allowance_used_up || connection.head_complete.get() {
-            Poll::Pending
-        } else {
-            connection.poll_call(stream, cx, buf)
+        let read = match &connection.exchange {
+            Some(exchange) => connection.poll_answer(&mut exchange.borrow_mut(), stream, cx, buf),
+            None => connection.poll_client(stream, cx, buf),
         };
-        match &read {
-            Poll::Pending => *connection.reader_waker.borrow_mut() = Some(cx.waker().clone()),
-            Poll::Ready(Ok(())) => {}
-            Poll::Ready(Err(_)) => connection.peer_ended.set(true),
-        }
-        if connection.peer_ended.get() || newly_paused {
-            connection.end_notify.notify_one();
+        if read.is_pending() {
+            *connection.reader_waker.borrow_mut() = Some(cx.waker().clone());
+        } else if connection.exchange.is_some() {
+            connection.touch();
         }
         read
     }
@@ -718,6 +616,7 @@
         connection.check_first_byte_deadline()?;
         connection.check_reusable(stream)?;
         let mut written = Pin::new(&mut *stream).poll_write(cx, buf);
+        connection.write_blocked.set(written.is_pending());
         // An engine that answers and closes resets the rest of the request; its answer can still be read.
         if matches!(written, Poll::Ready(Err(_)))
             && connection.exchange.is_some()
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -1,8 +1,12 @@
 use super::*;
+use actix_rt::time::timeout;
+use bramblewharf::call_memory::{CHUNKED_STEP_BYTES, READ_AHEAD_BYTES};
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
 
 const LONG: Duration = Duration::from_secs(60);
+/// Bytes for calls that are arriving.
+const CALL_MEMORY: u64 = 1 << 20;
 
 /// The peer of a new connection, and its tracked stream.
 async fn pair(connections: &Connections) -> (TcpStream, TrackedStream) {
@@ -13,10 +17,10 @@
 
 #[actix_rt::test]
 async fn idle_connections_are_closed_and_their_readers_woken_unless_a_call_is_open() {
-    let connections = Connections::for_clients(4, Duration::ZERO, Duration::ZERO);
+    let connections = Connections::for_clients(4, CALL_MEMORY, Duration::ZERO, Duration::ZERO);
     let (mut peer, mut idle) = pair(&connections).await;
     let (_busy_peer, busy) = pair(&connections).await;
-    busy.0.begin_call(10);
+    busy.0.begin_call(BodyFraming::Declared(10));
     let reader = actix_rt::spawn(async move { idle.read(&mut [0; 8]).await });
     tokio::task::yield_now().await;
     connections.close_idle();
@@ -29,27 +33,80 @@
     assert_eq!(connections.count(), 0);
 }
 
+/// Of a call's body just its length is handed on. What follows is read up to a bound, and handed on once the
+/// call is over.
 #[actix_rt::test]
 async fn reading_ahead_is_bounded_while_a_call_is_open() {
-    let connections = Connections::for_clients(4, LONG, LONG);
-    let (peer, mut stream) = pair(&connections).await;
-    stream.0.begin_call(4);
-    peer.writable().await.unwrap();
-    assert_eq!(peer.try_write(b"12345678").unwrap(), 8);
+    use tokio::io::AsyncWriteExt as _;
+    let connections = Connections::for_clients(4, CALL_MEMORY, LONG, LONG);
+    let (mut peer, mut stream) = pair(&connections).await;
+    stream.0.begin_call(BodyFraming::Declared(4));
+    let next_call = [b'x'; 2 * READ_AHEAD_BYTES];
+    peer.write_all(b"1234").await.unwrap();
+    peer.write_all(&next_call).await.unwrap();
     let connection = stream.0.clone();
     let reader = actix_rt::spawn(async move {
-        let mut bytes = [0; 4];
-        stream.read_exact(&mut bytes).await.unwrap();
-        stream.read_exact(&mut bytes).await.unwrap();
-        bytes
+        let (mut body, mut next) = ([0; 4], vec![0; 2 * READ_AHEAD_BYTES]);
+        stream.read_exact(&mut body).await.unwrap();
+        stream.read_exact(&mut next).await.unwrap();
+        (body, next)
     });
-    while connection.read_allowance.get() > 0 {
+    while connection.deferred.borrow().len() < READ_AHEAD_BYTES {
         tokio::task::yield_now().await;
     }
     tokio::task::yield_now().await;
+    assert_eq!(connection.deferred.borrow().len(), READ_AHEAD_BYTES);
     assert!(!reader.is_finished());
     connection.end_call();
-    assert_eq!(&reader.await.unwrap(), b"5678");
+    assert_eq!(reader.await.unwrap(), (*b"1234", next_call.to_vec()));
+}
+
+/// Guards against decoding more of a body than is copied: a chunked body is handed on in small steps, each
+/// once the one before it has been taken.
+#[actix_rt::test]
+async fn a_chunked_body_is_handed_on_step_by_step() {
+    use tokio::io::AsyncWriteExt as _;
+    let connections = Connections::for_clients(4, CALL_MEMORY, LONG, LONG);
+    let (mut peer, mut stream) = pair(&connections).await;
+    stream.0.begin_call(BodyFraming::Chunked);
+    peer.write_all(&[b'1'; 3 * CHUNKED_STEP_BYTES]).await.unwrap();
+    for _ in 0..3 {
+        let mut step = [0; CHUNKED_STEP_BYTES];
+        stream.read_exact(&mut step).await.unwrap();
+        let mut more = [0; 1];
+        assert!(stream.read(&mut more).now_or_never().is_none());
+        stream.0.allow_next_step();
+    }
+}
+
+/// A call that gets no memory is not read any further, and goes on once another one has released some.
+#[actix_rt::test]
+async fn a_call_without_memory_waits_unread_and_goes_on_later() {
+    use tokio::io::AsyncWriteExt as _;
+    let connections = Rc::new(Connections::for_clients(4, 64 * 1024, LONG, LONG));
+    let effects = connections.clone();
+    actix_rt::spawn(async move { effects.run_call_memory().await });
+    let (_other_peer, other) = pair(&connections).await;
+    let (mut peer, mut stream) = pair(&connections).await;
+    let head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(20_000));
+    let hold =
+        |bytes: usize| move |arriving: &mut bramblewharf::call_memory::Arriving| arriving.text_bytes = bytes;
+    assert!(other.0.memory().unwrap().update(hold(60_000)));
+    other.0.memory().unwrap().mark_arrived();
+    peer.write_all(head.as_bytes()).await.unwrap();
+    let length = head.len();
+    let reader = actix_rt::spawn(async move {
+        let mut bytes = vec![0; length];
+        stream.read_exact(&mut bytes).await.unwrap();
+        bytes
+    });
+    while connections.call_memory().unwrap().waiting() == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert!(!reader.is_finished());
+    other.0.memory().unwrap().update(hold(0));
+    assert_eq!(reader.await.unwrap(), head.as_bytes());
+    assert_eq!(connections.call_memory().unwrap().rejected(), 0);
 }
 
 /// A call must not be written to a connection that has ended or holds unsolicited bytes.
@@ -104,7 +161,7 @@
 #[actix_rt::test]
 async fn unread_bytes_do_not_reset_a_closed_connection() {
     use tokio::io::AsyncWriteExt as _;
-    let connections = Connections::for_clients(4, LONG, LONG);
+    let connections = Connections::for_clients(4, CALL_MEMORY, LONG, LONG);
     let linger = connections.linger.clone();
     actix_rt::spawn(async move { linger.run().await });
     let (mut peer, mut stream) = pair(&connections).await;
@@ -137,9 +194,9 @@
 #[actix_rt::test]
 async fn a_connection_with_an_unread_call_is_not_closed_as_idle() {
     use tokio::io::AsyncWriteExt as _;
-    let connections = Connections::for_clients(4, Duration::ZERO, Duration::ZERO);
+    let connections = Connections::for_clients(4, CALL_MEMORY, Duration::ZERO, Duration::ZERO);
     let (mut peer, stream) = pair(&connections).await;
-    stream.0.begin_call(10);
+    stream.0.begin_call(BodyFraming::Declared(10));
     stream.0.end_call();
     peer.write_all(b"POST").await.unwrap();
     while is_quiet(stream.0.stream.borrow().as_ref().unwrap()) {
@@ -153,7 +210,9 @@
 /// Small writes must not be delayed by the kernel: closing with unread bytes would drop them.
 #[actix_rt::test]
 async fn nagle_algorithm_is_disabled_on_both_sides() {
-    for connections in [Connections::for_clients(4, LONG, LONG), Connections::for_engines(100, LONG)] {
+    for connections in
+        [Connections::for_clients(4, CALL_MEMORY, LONG, LONG), Connections::for_engines(100, LONG)]
+    {
         let (_peer, stream) = pair(&connections).await;
         assert!(stream.0.stream.borrow().as_ref().unwrap().nodelay().unwrap());
     }
@@ -163,9 +222,10 @@
 #[actix_rt::test]
 async fn waiting_for_the_end_of_a_paused_connection_does_not_spin() {
     use std::future::Future as _;
-    let connections = Connections::for_clients(4, LONG, LONG);
+    let connections = Connections::for_clients(4, CALL_MEMORY, LONG, LONG);
     let (_peer, mut stream) = pair(&connections).await;
-    stream.0.begin_call(0);
+    stream.0.begin_call(BodyFraming::Chunked);
+    stream.0.read_allowance.set(0);
     let connection = stream.0.clone();
     let mut ended = std::pin::pin!(connection.wait_for_end());
     let mut polls = 0;
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -3,7 +3,7 @@
 
 use crate::closes::CloseReason;
 use crate::config::Bounds;
-use crate::connection::{Connection, Connections, TrackedStream};
+use crate::connection::{BodyFraming, Connection, Connections, TrackedStream};
 use crate::intake::{self, Received};
 use crate::reducer::{Answer, EngineRequest, Input, StatementText, SubmittedStatement};
 use crate::runtime::Core;
@@ -41,8 +41,6 @@
 const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a connection is closed on which more calls followed a refused one.
 const CONDEMNED_CLOSE_DELAY: Duration = Duration::from_millis(50);
-/// Bytes a client may send ahead while it waits for an answer; also the bound for the head of a call.
-pub const READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Interval at which connections are closed while the connection limit is reached.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
 /// Age from which a connection that has carried no call may be closed at the limit.
@@ -93,7 +91,12 @@
 impl Frontend {
     /// A frontend without connections.
     pub fn new(bounds: &Bounds) -> Rc<Frontend> {
-        let connections = Rc::new(Connections::for_clients(bounds.clients / 16, HEAD_TIMEOUT, IDLE_TIMEOUT));
+        let connections = Rc::new(Connections::for_clients(
+            bounds.clients / 16,
+            bounds.call_memory,
+            HEAD_TIMEOUT,
+            IDLE_TIMEOUT,
+        ));
         // Twice the statements in progress, since answers are kept for a while after they were given.
         let sessions = Rc::new(Sessions::new(2 * bounds.stmts));
         let (open_connections, statements_begun) = (Cell::new(0), Cell::new(0));
@@ -222,7 +225,7 @@
             return error_response(StatusCode::BAD_REQUEST, "behind a refused call");
         }
         let begun = connection.as_ref().map_or_else(Instant::now, |connection| {
-            connection.begin_call(core.bounds.statement + READ_AHEAD_BYTES)
+            connection.begin_call(BodyFraming::of(request.headers()))
         });
         let _open_call = connection.clone().map(OpenCall);
         let payload = request.take_payload();
@@ -243,7 +246,8 @@
                 let workload = workload.rsplit('/').next().unwrap_or(workload).to_string();
                 let body_deadline = begun + BODY_TIMEOUT;
                 let (headers, sessions) = (request.headers(), &self.sessions);
-                match serve_statement(
+                // Boxed, as every connection has room for the state of a call, whether one is open or not.
+                let served = Box::pin(serve_statement(
                     &core,
                     sessions,
                     &workload,
@@ -251,9 +255,8 @@
                     payload,
                     body_deadline,
                     connection.clone(),
-                )
-                .await
-                {
+                ));
+                match served.await {
                     Ok(response) => response,
                     Err((status, why)) => {
                         core.count_bad_call(why);
@@ -347,14 +350,8 @@
     connection: Option<Rc<Connection>>,
 ) -> Result<Response<BoxBody>, BadCall> {
     let (mut statement, mut engine_request) = read_head(core, workload, headers)?;
-    let received = intake::receive_body(
-        core,
-        payload,
-        headers,
-        statement.workload,
-        body_deadline,
-        connection.as_deref(),
-    );
+    let received =
+        intake::receive_body(core, payload, headers, statement.workload, body_deadline, connection.as_ref());
     let (text, mut remainder) = match received.await? {
         Received::Whole(text) => (StatementText::Inline(text), None),
         Received::Stored(body) => (StatementText::Stored(body), None),
@@ -394,7 +391,7 @@
                 let response = statement_response("", Some(answered.unwrap_or(Answer::Aborted)));
                 return Ok(close_after(mark_not_kept(response, not_kept.as_ref()), connection.as_deref()));
             }
-            streamed = remainder.stream(core, connection.as_deref()) => streamed?,
+            streamed = remainder.stream(core) => streamed?,
         }
     }
     let disconnected = async {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -2,18 +2,19 @@
 //! body store or are streamed to an engine. The accounting of the body store decides which.
 
 use crate::connection::Connection;
-use crate::frontend::{
-    close_after, error_response, statement_response, BadCall, READ_AHEAD_BYTES, STATEMENTS_PREFIX,
-};
+use crate::frontend::{close_after, error_response, statement_response, BadCall, STATEMENTS_PREFIX};
 use crate::reducer::Answer;
 use crate::runtime::Core;
 use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderMap};
 use actix_http::{HttpMessage as _, Payload, Request, Response, StatusCode};
+use bramblewharf::call_memory::DECLARED_STEP_BYTES;
 use bramblewharf_bodies::{Body, Refusal, Tier};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
@@ -24,6 +25,8 @@
 /// Bytes of a streamed body that are received before an engine is chosen, as the tables are usually named
 /// among them.
 const STREAM_PREFIX_BYTES: u64 = 16 * 1024;
+/// Bytes of a larger body that are gathered before they go to the body store.
+const GATHERED_BYTES: usize = 2 * DECLARED_STEP_BYTES;
 
 /// Result of receiving a body.
 pub enum Received {
@@ -41,6 +44,10 @@
 pub struct Remainder {
     payload: Payload,
     body: Rc<Body>,
+    connection: Option<Rc<Connection>>,
+    /// Received, and not in the body store yet: chunks may be much smaller than their entries there.
+    gathered: BytesMut,
+    received: u64,
     validator: TextValidator,
     deadline: Instant,
 }
@@ -104,42 +111,135 @@
     Err(close_after(response, None))
 }
 
+/// The next chunk of a body, or none at its end. The connection hands on the next part of the body once all
+/// chunks before it have been taken.
+async fn next_chunk(
+    payload: &mut Payload,
+    connection: Option<&Connection>,
+    deadline: Instant,
+) -> Result<Option<Bytes>, BadCall> {
+    let next = poll_fn(|cx| {
+        let next = payload.poll_next_unpin(cx);
+        if let (Poll::Pending, Some(connection)) = (&next, connection) {
+            connection.allow_next_step();
+        }
+        next
+    });
+    let chunk = timeout_at(deadline.into(), next).await.map_err(|_| TOO_SLOW)?;
+    chunk.transpose().map_err(|_| INCOMPLETE)
+}
+
+/// An ordinary body as it arrives: its bytes are copied, so that no buffer of the HTTP server is kept.
+struct OrdinaryText<'a> {
+    text: BytesMut,
+    declared: Option<u64>,
+    connection: Option<&'a Connection>,
+    deadline: Instant,
+}
+
+impl OrdinaryText<'_> {
+    /// Makes room for the part of the body that the connection hands on next. False if there is no memory
+    /// for it.
+    async fn make_room(&mut self, limit: usize) -> bool {
+        let length = (self.text.len() + DECLARED_STEP_BYTES).min(limit);
+        let length = self.declared.map_or(length, |declared| length.min(declared as usize));
+        if length <= self.text.capacity() {
+            return true;
+        }
+        let capacity = self.capacity_for(length).min(limit);
+        if !self.acquire(capacity).await {
+            return false;
+        }
+        self.text.reserve(capacity - self.text.len());
+        true
+    }
+
+    /// The capacity for a text of at least this length: a declared length is not exceeded, and the buffer is
+    /// not copied for each part.
+    fn capacity_for(&self, length: usize) -> usize {
+        let grown = length.max(2 * self.text.capacity());
+        self.declared.map_or(grown, |declared| grown.min(declared as usize))
+    }
+
+    async fn acquire(&self, capacity: usize) -> bool {
+        match self.connection.and_then(Connection::memory) {
+            Some(memory) => {
+                let granted = memory.acquire(|arriving| arriving.text_bytes = capacity);
+                timeout_at(self.deadline.into(), granted).await.unwrap_or(false)
+            }
+            None => true,
+        }
+    }
+
+    /// The whole text, in a buffer of its length, if it is text.
+    fn finish(self) -> Result<Bytes, BadCall> {
+        let is_text =
+            std::str::from_utf8(&self.text).is_ok_and(|text| !text.trim().is_empty() && !text.contains('\0'));
+        let is_tight = self.text.capacity() <= self.text.len() + self.text.len() / 4;
+        let text = if is_tight { self.text.freeze() } else { Bytes::copy_from_slice(&self.text) };
+        is_text.then_some(text).ok_or(NOT_TEXT)
+    }
+}
+
+/// Returns once the call is rejected because others need its memory.
+async fn memory_withdrawn(connection: Option<&Connection>) {
+    match connection.and_then(Connection::memory) {
+        Some(memory) => memory.wait_for_rejection().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Receives a body until it is complete, or up to the part needed before an engine is chosen.
 pub async fn receive_body(
+    core: &Rc<Core>,
+    payload: Payload,
+    headers: &HeaderMap,
+    workload: usize,
+    deadline: Instant,
+    connection: Option<&Rc<Connection>>,
+) -> Result<Received, BadCall> {
+    let received = receive(core, payload, headers, workload, deadline, connection);
+    tokio::select! {
+        biased;
+        received = received => received,
+        () = memory_withdrawn(connection.map(Rc::as_ref)) => Ok(Received::NoCapacity),
+    }
+}
+
+async fn receive(
     core: &Rc<Core>,
     mut payload: Payload,
     headers: &HeaderMap,
     workload: usize,
     deadline: Instant,
-    connection: Option<&Connection>,
+    connection: Option<&Rc<Connection>>,
 ) -> Result<Received, BadCall> {
     let (ordinary, largest) = (core.bounds.statement as u64, core.bodies.max_body());
     let declared = declared_length(headers);
     if declared.is_some_and(|length| length > largest) {
         return Err(TOO_LARGE);
     }
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut length = 0;
+    let reader = connection.map(Rc::as_ref);
+    let mut text = OrdinaryText { text: BytesMut::new(), declared, connection: reader, deadline };
+    let mut first_beyond = Bytes::new();
     while declared.is_none_or(|declared| declared <= ordinary) {
-        let chunk = timeout_at(deadline.into(), payload.next()).await.map_err(|_| TOO_SLOW)?;
-        let Some(chunk) = chunk else {
-            if let Some(connection) = connection {
-                connection.call_received(READ_AHEAD_BYTES);
-            }
-            return join_chunks(chunks, length as usize).map(Received::Whole);
+        if !text.make_room(ordinary as usize).await {
+            return Ok(Received::NoCapacity);
+        }
+        let Some(chunk) = next_chunk(&mut payload, reader, deadline).await? else {
+            let text = text.finish()?;
+            reader.into_iter().for_each(Connection::call_received);
+            return Ok(Received::Whole(text));
         };
-        let chunk = chunk.map_err(|_| INCOMPLETE)?;
-        length += chunk.len() as u64;
-        chunks.push(chunk);
-        if length > ordinary {
+        if (text.text.len() + chunk.len()) as u64 > ordinary {
+            first_beyond = chunk;
             break;
         }
+        text.text.extend_from_slice(&chunk);
     }
-    if length > largest {
+    if (text.text.len() + first_beyond.len()) as u64 > largest {
         return Err(TOO_LARGE);
     }
-    // From here on reading ahead is bounded by the flow control of actix-http's payload.
-    connection.into_iter().for_each(|connection| connection.set_read_allowance(usize::MAX));
     if core.rejects_new_statements() {
         return Ok(Received::NoCapacity);
     }
@@ -148,25 +248,37 @@
         Err(Refusal::TooLarge) => return Err(TOO_LARGE),
         Err(Refusal::NoCapacity) => return Ok(Received::NoCapacity),
     };
-    let mut remainder =
-        Remainder { payload, body: body.clone(), validator: TextValidator::default(), deadline };
-    for chunk in chunks {
-        if let Some(received) = remainder.push(chunk).await? {
+    let received = text.text.freeze();
+    let mut remainder = Remainder {
+        payload,
+        body: body.clone(),
+        connection: connection.cloned(),
+        gathered: BytesMut::new(),
+        received: 0,
+        validator: TextValidator::default(),
+        deadline,
+    };
+    for chunk in [received, first_beyond] {
+        if let Some(received) = remainder.push(&chunk).await? {
             return Ok(received);
         }
     }
+    // From here on the text is in the memory of the body store.
+    reader.and_then(Connection::memory).into_iter().for_each(|memory| {
+        memory.update(|arriving| arriving.text_bytes = 0);
+    });
     loop {
         if body.tier() == Tier::NotKept && body.received() >= STREAM_PREFIX_BYTES {
             return Ok(Received::Streaming(body, Box::new(remainder)));
         }
         match remainder.next_chunk(core).await? {
             Some(chunk) => {
-                if let Some(received) = remainder.push(chunk).await? {
+                if let Some(received) = remainder.push(&chunk).await? {
                     return Ok(received);
                 }
             }
             None => {
-                if let Some(received) = remainder.finish(connection).await? {
+                if let Some(received) = remainder.finish().await? {
                     return Ok(received);
                 }
                 return Ok(match body.tier() {
@@ -178,48 +290,52 @@
     }
 }
 
-/// Joins the chunks of an ordinary body and checks that it is text.
-fn join_chunks(mut chunks: Vec<Bytes>, length: usize) -> Result<Bytes, BadCall> {
-    let text = if chunks.len() <= 1 {
-        chunks.pop().unwrap_or_default()
-    } else {
-        let mut joined = BytesMut::with_capacity(length);
-        chunks.iter().for_each(|chunk| joined.extend_from_slice(chunk));
-        joined.freeze()
-    };
-    let is_text =
-        std::str::from_utf8(&text).is_ok_and(|text| !text.trim().is_empty() && !text.contains('\0'));
-    is_text.then_some(text).ok_or(NOT_TEXT)
-}
-
 impl Remainder {
     /// The next chunk, or none at the end of the body. The deadline moves out with the bytes received, at the
     /// minimum rate.
     async fn next_chunk(&mut self, core: &Core) -> Result<Option<Bytes>, BadCall> {
         let deadline = self.deadline
-            + Duration::from_secs_f64(self.body.received() as f64 / core.min_bytes_per_second.max(1) as f64);
-        let chunk = timeout_at(deadline.into(), self.payload.next()).await.map_err(|_| TOO_SLOW)?;
-        chunk.transpose().map_err(|_| INCOMPLETE)
+            + Duration::from_secs_f64(self.received as f64 / core.min_bytes_per_second.max(1) as f64);
+        next_chunk(&mut self.payload, self.connection.as_deref(), deadline).await
     }
 
     /// Adds a chunk to the body. A result means that receiving ends here.
-    async fn push(&mut self, chunk: Bytes) -> Result<Option<Received>, BadCall> {
-        if !self.validator.accept(&chunk) {
+    async fn push(&mut self, chunk: &[u8]) -> Result<Option<Received>, BadCall> {
+        if !self.validator.accept(chunk) {
             return Err(NOT_TEXT);
         }
+        self.received += chunk.len() as u64;
+        if self.gathered.capacity() == 0 {
+            self.gathered.reserve(GATHERED_BYTES);
+        }
+        self.gathered.extend_from_slice(chunk);
+        if self.gathered.len() < GATHERED_BYTES {
+            return Ok(None);
+        }
+        self.push_gathered().await
+    }
+
+    /// Passes on what is gathered to the body store.
+    async fn push_gathered(&mut self) -> Result<Option<Received>, BadCall> {
+        let gathered = std::mem::take(&mut self.gathered).freeze();
         // Time spent waiting for the disk does not count against the client.
         let began = Instant::now();
-        let pushed = self.body.push(chunk).await;
+        let pushed = self.body.push(gathered).await;
         self.deadline += began.elapsed();
         self.map_refusal(pushed)
     }
 
     /// Ends the body. A result means that it could not be stored whole.
-    async fn finish(&mut self, connection: Option<&Connection>) -> Result<Option<Received>, BadCall> {
+    async fn finish(&mut self) -> Result<Option<Received>, BadCall> {
         if !self.validator.is_text() {
             return Err(NOT_TEXT);
         }
-        connection.into_iter().for_each(|connection| connection.call_received(READ_AHEAD_BYTES));
+        if !self.gathered.is_empty() {
+            if let Some(received) = self.push_gathered().await? {
+                return Ok(Some(received));
+            }
+        }
+        self.connection.iter().for_each(|connection| connection.call_received());
         let finished = self.body.finish().await;
         self.map_refusal(finished)
     }
@@ -233,11 +349,11 @@
     }
 
     /// Streams the rest of a body that is not kept to the engine that already has its first part.
-    pub async fn stream(&mut self, core: &Core, connection: Option<&Connection>) -> Result<(), BadCall> {
+    pub async fn stream(&mut self, core: &Core) -> Result<(), BadCall> {
         while !self.body.is_complete() {
             match self.next_chunk(core).await? {
-                Some(chunk) => self.push(chunk).await.map(drop)?,
-                None => self.finish(connection).await.map(drop)?,
+                Some(chunk) => self.push(&chunk).await.map(drop)?,
+                None => self.finish().await.map(drop)?,
             }
         }
         Ok(())
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -1,7 +1,7 @@
 //! Runs the gateway on one thread: startup, the effects that the reducer asks for, reloads and shutdown.
 
 use crate::config::{self, Bounds, RestartOnlySettings, Start};
-use crate::connection::Connections;
+use crate::connection::{CallMemoryBook, Connections};
 use crate::discovery::{EngineSnapshot, ListUpdate, NameServiceClient};
 use crate::engines::{Dispatch, EngineClient, ExecutionUpdate, SendGuards};
 use crate::fleet::{boottime_now, Link};
@@ -496,6 +496,8 @@
             "asked_again" => self.engines.retried_calls(), "names_passed_over" => self.ignored_name_answers.get(),
             "list_age_ms" => self.list_confirmed.get().elapsed().as_millis() as u64,
             "peers_passed_over" => self.peers.as_ref().map_or(0, PeerSocket::ignored_datagrams),
+            "call_memory" => clients.call_memory().map(CallMemoryBook::granted), "calls_waiting" => clients.call_memory().map(CallMemoryBook::waiting),
+            "calls_without_memory" => clients.call_memory().map(CallMemoryBook::rejected),
             "bodies" => ?self.bodies.counts(), "written" => ?self.bodies.spooled_bytes(),
             "bodies_fault" => self.bodies.take_last_error(),
             "connections" => self.engines.connections(), "faults" => self.faults.get(),
@@ -695,6 +697,8 @@
         }));
         let linger = frontend.connections.linger.clone();
         tasks.push(actix_rt::spawn(async move { linger.run().await }));
+        let connections = frontend.connections.clone();
+        tasks.push(actix_rt::spawn(async move { connections.run_call_memory().await }));
         let (swept_frontend, swept_core) = (frontend.clone(), core.clone());
         tasks.push(actix_rt::spawn(async move {
             let mut logged = Instant::now();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway that runs in a thread of its own, and clients that send calls to it.
 #![allow(dead_code)]
 
+pub mod bad_clients;
 pub mod name_service;
 pub mod program;
 
