--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -42,6 +42,16 @@
     pub pages: usize,
 }
 
+impl Bounds {
+    /// The memory that is used when all of these limits are reached, in bytes.
+    pub fn planned_memory(&self) -> u64 {
+        let connections =
+            self.clients as f64 * CLIENT_MEMORY_BYTES + self.engines as f64 * IDLE_ENGINE_MEMORY_BYTES;
+        let statements = self.stmts as f64 * STATEMENT_MEMORY_BYTES;
+        (BASE_MEMORY_BYTES + connections + statements) as u64 + self.call_memory
+    }
+}
+
 /// Start parameters of a gateway.
 pub struct Start {
     /// Name of the gateway in the log.
@@ -124,9 +134,9 @@
 /// Share of the memory for statements that texts, results and heads of more than ordinary size use.
 const LARGE_CALL_SHARE: f64 = 0.5;
 /// Least memory of these: one call at all its limits.
-const MIN_CALL_MEMORY_BYTES: f64 = 1e6;
-/// Clients hold a third of the descriptors at most: no less than this share is for their connections.
-const MIN_CLIENT_SHARE: f64 = 0.36;
+const MIN_CALL_MEMORY_BYTES: f64 = 2e6;
+/// The least number of connections from clients: a third of the least descriptors.
+const MIN_CLIENTS: f64 = 43.0;
 /// The least number of statements in progress.
 const MIN_STATEMENTS: usize = 16;
 /// Defaults for connections to engines.
@@ -312,7 +322,7 @@
     let reserved = MIN_STATEMENTS as f64 * STATEMENT_MEMORY_BYTES + MIN_CALL_MEMORY_BYTES;
     let clients = (sockets as f64 * CLIENT_SHARE)
         .min((available - reserved) / CLIENT_MEMORY_BYTES)
-        .max(sockets as f64 * MIN_CLIENT_SHARE) as usize;
+        .max(MIN_CLIENTS) as usize;
     let engines = sockets - RESERVED_DESCRIPTORS - clients;
     let available =
         available - clients as f64 * CLIENT_MEMORY_BYTES - engines as f64 * IDLE_ENGINE_MEMORY_BYTES;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -139,6 +139,7 @@
         match effect {
             MemoryEffect::Resume(_) => memory.resume(),
             MemoryEffect::Reject(_) if self.idle_since.get().is_none() => memory.reject(),
+            MemoryEffect::Reject(_) if self.write_blocked.get() => memory.mark_idle(),
             MemoryEffect::Reject(_) => self.reject_head(),
         }
         self.wake();
@@ -146,7 +147,7 @@
 
     /// Rejects a call whose head has not arrived completely, if one has begun, and closes the connection.
     fn reject_head(&self) {
-        if self.head_begun_at.get().is_some() && !self.write_blocked.get() {
+        if self.head_begun_at.get().is_some() {
             // As much as the socket takes: the connection is closed either way.
             let _ = self.stream.borrow().as_ref().map(|stream| stream.try_write(NO_MEMORY_RESPONSE));
         }
@@ -425,11 +426,11 @@
 }
 
 impl Connections {
-    /// `max_lingering`: how many connections may be in a lingering close at once. `call_memory`: bytes for the
-    /// calls that are arriving, beyond what each connection may have anyway.
+    /// `max_lingering`: how many connections may be in a lingering close at once. `call_memory`: memory of what
+    /// connections hold beyond an ordinary call.
     pub fn for_clients(
         max_lingering: usize,
-        call_memory: u64,
+        call_memory: Rc<CallMemoryBook>,
         head_timeout: Duration,
         idle_timeout: Duration,
     ) -> Connections {
@@ -441,7 +442,7 @@
             head_timeout,
             idle_timeout,
             max_answer: None,
-            call_memory: Some(CallMemoryBook::new(call_memory)),
+            call_memory: Some(call_memory),
         }
     }
 
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -17,7 +17,8 @@
 
 #[actix_rt::test]
 async fn idle_connections_are_closed_and_their_readers_woken_unless_a_call_is_open() {
-    let connections = Connections::for_clients(4, CALL_MEMORY, Duration::ZERO, Duration::ZERO);
+    let connections =
+        Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), Duration::ZERO, Duration::ZERO);
     let (mut peer, mut idle) = pair(&connections).await;
     let (_busy_peer, busy) = pair(&connections).await;
     busy.0.begin_call(BodyFraming::Declared(10));
@@ -38,7 +39,7 @@
 #[actix_rt::test]
 async fn reading_ahead_is_bounded_while_a_call_is_open() {
     use tokio::io::AsyncWriteExt as _;
-    let connections = Connections::for_clients(4, CALL_MEMORY, LONG, LONG);
+    let connections = Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG);
     let (mut peer, mut stream) = pair(&connections).await;
     stream.0.begin_call(BodyFraming::Declared(4));
     let next_call = [b'x'; 2 * READ_AHEAD_BYTES];
@@ -66,7 +67,7 @@
 #[actix_rt::test]
 async fn a_chunked_body_is_handed_on_step_by_step() {
     use tokio::io::AsyncWriteExt as _;
-    let connections = Connections::for_clients(4, CALL_MEMORY, LONG, LONG);
+    let connections = Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG);
     let (mut peer, mut stream) = pair(&connections).await;
     stream.0.begin_call(BodyFraming::Chunked);
     peer.write_all(&[b'1'; 3 * CHUNKED_STEP_BYTES]).await.unwrap();
@@ -83,7 +84,7 @@
 #[actix_rt::test]
 async fn a_call_without_memory_waits_unread_and_goes_on_later() {
     use tokio::io::AsyncWriteExt as _;
-    let connections = Rc::new(Connections::for_clients(4, 64 * 1024, LONG, LONG));
+    let connections = Rc::new(Connections::for_clients(4, CallMemoryBook::new(64 * 1024), LONG, LONG));
     let effects = connections.clone();
     actix_rt::spawn(async move { effects.run_call_memory().await });
     let (_other_peer, other) = pair(&connections).await;
@@ -161,7 +162,7 @@
 #[actix_rt::test]
 async fn unread_bytes_do_not_reset_a_closed_connection() {
     use tokio::io::AsyncWriteExt as _;
-    let connections = Connections::for_clients(4, CALL_MEMORY, LONG, LONG);
+    let connections = Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG);
     let linger = connections.linger.clone();
     actix_rt::spawn(async move { linger.run().await });
     let (mut peer, mut stream) = pair(&connections).await;
@@ -194,7 +195,8 @@
 #[actix_rt::test]
 async fn a_connection_with_an_unread_call_is_not_closed_as_idle() {
     use tokio::io::AsyncWriteExt as _;
-    let connections = Connections::for_clients(4, CALL_MEMORY, Duration::ZERO, Duration::ZERO);
+    let connections =
+        Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), Duration::ZERO, Duration::ZERO);
     let (mut peer, stream) = pair(&connections).await;
     stream.0.begin_call(BodyFraming::Declared(10));
     stream.0.end_call();
@@ -210,9 +212,10 @@
 /// Small writes must not be delayed by the kernel: closing with unread bytes would drop them.
 #[actix_rt::test]
 async fn nagle_algorithm_is_disabled_on_both_sides() {
-    for connections in
-        [Connections::for_clients(4, CALL_MEMORY, LONG, LONG), Connections::for_engines(100, LONG)]
-    {
+    for connections in [
+        Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG),
+        Connections::for_engines(100, LONG),
+    ] {
         let (_peer, stream) = pair(&connections).await;
         assert!(stream.0.stream.borrow().as_ref().unwrap().nodelay().unwrap());
     }
@@ -222,7 +225,7 @@
 #[actix_rt::test]
 async fn waiting_for_the_end_of_a_paused_connection_does_not_spin() {
     use std::future::Future as _;
-    let connections = Connections::for_clients(4, CALL_MEMORY, LONG, LONG);
+    let connections = Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG);
     let (_peer, mut stream) = pair(&connections).await;
     stream.0.begin_call(BodyFraming::Chunked);
     stream.0.read_allowance.set(0);
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -3,17 +3,18 @@
 
 use crate::closes::{CloseCounts, CloseReason};
 use crate::config::Bounds;
-use crate::connection::{is_quiet, Connection, Connections, TrackedStream};
+use crate::connection::{is_quiet, CallMemoryBook, Connection, Connections, TrackedStream};
 use crate::reducer::{
     Cancel, CancelOutcome, EngineRequest, ExecutionResult, StatementText, MIN_CANCEL_WINDOW,
 };
-use crate::upload::{UploadBody, UploadWatch};
+use crate::upload::{SlicedText, UploadBody, UploadWatch};
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError as DialError, ConnectInfo, Connection as Dialled};
 use awc::http::{StatusCode, Uri};
 use awc::{Client, ClientRequest, Connector, SendClientRequest};
+use bramblewharf::call_memory::ORDINARY_ANSWER_BYTES;
 use bramblewharf::interface::*;
 use bramblewharf_site::Names;
 use bytes::Bytes;
@@ -67,6 +68,7 @@
     last_retry: Cell<Option<Instant>>,
     names: Names,
     bounds: Bounds,
+    call_memory: Rc<CallMemoryBook>,
     dial_timeout: Duration,
     /// A statement must never have two executions in flight, not even while the request of one may still be
     /// on its way.
@@ -187,6 +189,7 @@
     /// Creates a client without connections.
     pub fn new(
         bounds: Bounds,
+        call_memory: Rc<CallMemoryBook>,
         names: Names,
         dial_timeout: Duration,
         engine_idle: Duration,
@@ -203,6 +206,7 @@
             last_retry: Cell::new(None),
             names,
             bounds,
+            call_memory,
             dial_timeout,
             one_at_a_time,
         }
@@ -595,7 +599,10 @@
             let request = request(&channel.client).no_decompress();
             let reply = match text {
                 StatementText::Inline(text) => {
-                    let sent = request.send_body(text.clone());
+                    let sent = match text.len() <= ORDINARY_ANSWER_BYTES {
+                        true => request.send_body(text.clone()),
+                        false => request.send_body(SlicedText::new(text.clone())),
+                    };
                     timeout(within, self.reply(sent)).await.ok()
                 }
                 StatementText::Stored(body) => {
@@ -668,14 +675,15 @@
         if !is_well_formed_page(&first.body, &mut columns) {
             return Err(FetchError::Malformed);
         }
-        let mut pages = vec![first.body.clone()];
+        // The first page is part of an ordinary result.
+        let mut pages = vec![Bytes::copy_from_slice(&first.body)];
         for number in 1..count {
             let page = self.page(channel, id, number, &mut columns).await?;
             bytes += page.len();
             if bytes > self.bounds.result {
                 return Err(FetchError::Gone);
             }
-            pages.push(page);
+            pages.push(self.call_memory.count_page(&page).await);
         }
         Ok(ExecutionResult {
             outcome: Outcome::Completed,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -3,7 +3,7 @@
 
 use crate::closes::CloseReason;
 use crate::config::Bounds;
-use crate::connection::{BodyFraming, Connection, Connections, TrackedStream};
+use crate::connection::{BodyFraming, CallMemoryBook, Connection, Connections, TrackedStream};
 use crate::intake::{self, Received};
 use crate::reducer::{Answer, EngineRequest, Input, StatementText, SubmittedStatement};
 use crate::runtime::Core;
@@ -18,6 +18,7 @@
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{sleep, timeout};
 use actix_service::{fn_service, IntoServiceFactory as _, Service as _, ServiceFactory as _};
+use bramblewharf::call_memory::ORDINARY_ANSWER_BYTES;
 use bramblewharf::interface::{Id, NewStatement};
 use bytes::Bytes;
 use std::cell::Cell;
@@ -58,6 +59,8 @@
 const MAX_ESTIMATE_MS: f64 = 1e8;
 /// Largest accepted estimate of a statement's memory.
 const MAX_MEMORY_MB: f64 = 1e7;
+/// Bytes of JSON that a byte of a result becomes at most; also more than what stands around the rows.
+const MAX_JSON_EXPANSION: usize = 16;
 /// Path of the liveness check.
 const HEALTH_PATH: &str = "/status/live";
 /// Path prefix of statements.
@@ -90,13 +93,9 @@
 
 impl Frontend {
     /// A frontend without connections.
-    pub fn new(bounds: &Bounds) -> Rc<Frontend> {
-        let connections = Rc::new(Connections::for_clients(
-            bounds.clients / 16,
-            bounds.call_memory,
-            HEAD_TIMEOUT,
-            IDLE_TIMEOUT,
-        ));
+    pub fn new(bounds: &Bounds, call_memory: Rc<CallMemoryBook>) -> Rc<Frontend> {
+        let connections =
+            Rc::new(Connections::for_clients(bounds.clients / 16, call_memory, HEAD_TIMEOUT, IDLE_TIMEOUT));
         // Twice the statements in progress, since answers are kept for a while after they were given.
         let sessions = Rc::new(Sessions::new(2 * bounds.stmts));
         let (open_connections, statements_begun) = (Cell::new(0), Cell::new(0));
@@ -269,6 +268,7 @@
                     Some(session) => {
                         let answer =
                             session.wait_for_answer(POLL_TIMEOUT, client_closed(connection.as_deref())).await;
+                        let answer = with_memory(connection.as_deref(), answer).await;
                         mark_not_kept(statement_response(&session.path, answer), session.not_kept.as_ref())
                     }
                     None => error_response(StatusCode::NOT_FOUND, "no such result"),
@@ -407,13 +407,27 @@
         () = sleep(FIRST_RESPONSE_TIMEOUT), if sessions.has_capacity() => None,
     };
     disconnect_guard.id = None;
-    let response = match answered {
+    let response = match with_memory(connection.as_deref(), answered).await {
         None => statement_response(&sessions.open(core, id, answer, not_kept.clone()), None),
         answered => statement_response("", answered),
     };
     Ok(mark_not_kept(response, not_kept.as_ref()))
 }
 
+/// The answer, once there is memory for its result as it is written to the client. Where there is none in time,
+/// the result cannot be passed on.
+async fn with_memory(connection: Option<&Connection>, answer: Option<Answer>) -> Option<Answer> {
+    let (Some(memory), Some(Answer::Completed(pages))) = (connection.and_then(Connection::memory), &answer)
+    else {
+        return answer;
+    };
+    let length = result_length(pages);
+    if length <= ORDINARY_ANSWER_BYTES || memory.acquire_answer(length).await {
+        return answer;
+    }
+    Some(Answer::Aborted)
+}
+
 /// Marks a final answer without a result if the body was not kept, which explains why it was not retried.
 fn mark_not_kept(mut response: Response<BoxBody>, not_kept: Option<&Rc<Cell<bool>>>) -> Response<BoxBody> {
     if not_kept.is_some_and(|not_kept| not_kept.get()) && !response.status().is_success() {
@@ -559,29 +573,60 @@
     (number > 0.0 && number <= max).then_some(number)
 }
 
-/// The result as JSON: all rows in order, with each cell as a string.
-fn result_response(pages: &[Bytes]) -> Response<BoxBody> {
-    let size: usize = pages.iter().map(Bytes::len).sum();
-    let mut out = Vec::with_capacity(size * 5 / 4 + 64);
-    out.extend_from_slice(b"{\"values\":[");
+/// Writes the result as JSON: all rows in order, with each cell as a string.
+fn write_result(pages: &[Bytes], out: &mut impl io::Write) -> io::Result<()> {
+    out.write_all(b"{\"values\":[")?;
     let mut first = true;
     let rows = pages.iter().flat_map(|page| {
         let text = std::str::from_utf8(page).unwrap_or_default();
         text.split_terminator('\n')
     });
     for row in rows {
-        out.extend_from_slice(if first { b"[" } else { b",[" });
+        out.write_all(if first { b"[" } else { b",[" })?;
         first = false;
         for (at, cell) in row.split('\t').enumerate() {
             if at > 0 {
-                out.push(b',');
+                out.write_all(b",")?;
             }
-            // Writing to memory cannot fail.
-            let _ = serde_json::to_writer(&mut out, cell);
+            serde_json::to_writer(&mut *out, cell)?;
         }
-        out.push(b']');
+        out.write_all(b"]")?;
+    }
+    out.write_all(b"]}")
+}
+
+/// Counts what is written.
+#[derive(Default)]
+struct Length(usize);
+
+impl io::Write for Length {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
     }
-    out.extend_from_slice(b"]}");
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A bound of the length of the result as JSON, in bytes; exact where it may be longer than an ordinary answer.
+fn result_length(pages: &[Bytes]) -> usize {
+    let longest =
+        pages.iter().map(|page| page.len() * MAX_JSON_EXPANSION).sum::<usize>() + MAX_JSON_EXPANSION;
+    if longest <= ORDINARY_ANSWER_BYTES {
+        return longest;
+    }
+    let mut length = Length::default();
+    // Counting cannot fail.
+    let _ = write_result(pages, &mut length);
+    length.0
+}
+
+fn result_response(pages: &[Bytes]) -> Response<BoxBody> {
+    let mut out = Vec::with_capacity(result_length(pages));
+    // Writing to memory cannot fail.
+    let _ = write_result(pages, &mut out);
     json_response(StatusCode::OK, out.into())
 }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -228,6 +228,8 @@
         }
         let Some(chunk) = next_chunk(&mut payload, reader, deadline).await? else {
             let text = text.finish()?;
+            let text =
+                reader.and_then(Connection::memory).map_or(text.clone(), |memory| memory.detach_text(text));
             reader.into_iter().for_each(Connection::call_received);
             return Ok(Received::Whole(text));
         };
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -576,7 +576,9 @@
         let clock = Clock::new(source);
         let (one_at_a_time, idle) = (!start.site.concurrent_executions, start.engine_idle);
         let (bounds, names) = (start.bounds.clone(), start.site_names.clone());
-        let engines = EngineClient::new(bounds, names, start.dial_timeout, idle, one_at_a_time);
+        let call_memory = CallMemoryBook::new(bounds.call_memory);
+        let engines =
+            EngineClient::new(bounds, call_memory.clone(), names, start.dial_timeout, idle, one_at_a_time);
         let deduplicated = |w: &WorkloadConfig| matches!(w.effect, Repeat::Deduplicated(_));
         let requires_key = start.site.workloads.iter().map(deduplicated).collect();
         let (bodies, spool_directory) = open_body_store(&start.operators.bodies, disk, &log)?;
@@ -669,7 +671,7 @@
             // The list in the configuration counts as confirmed at the start.
             core.input(Input::ListPolled(Some(core.clock.now())));
         }
-        let frontend = Frontend::new(&core.bounds);
+        let frontend = Frontend::new(&core.bounds, call_memory);
         slog::info!(core.log, "serving"; "name" => start.name, "listen" => %address,
             "bounds" => ?core.bounds);
         let mut tasks = vec![
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_core::Stream as _;
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::pin::{pin, Pin};
@@ -21,6 +22,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How long an engine may accept none of the data that is ready for it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes of a text that are handed to the HTTP client at a time.
+const SLICE_BYTES: usize = 8 * 1024;
 /// Placeholder for the rest of a body after an early answer; it satisfies the declared length and is never
 /// written.
 static FILLER: [u8; 64 * 1024] = [0; 64 * 1024];
@@ -71,6 +74,30 @@
     }
 }
 
+/// A text that is sent in slices, so that no buffer has to hold a copy of all of it.
+pub struct SlicedText(Bytes);
+
+impl SlicedText {
+    /// Sends this text.
+    pub fn new(text: Bytes) -> SlicedText {
+        SlicedText(text)
+    }
+}
+
+impl MessageBody for SlicedText {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.0.len() as u64)
+    }
+
+    fn poll_next(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let text = &mut self.get_mut().0;
+        let slice = text.split_to(text.len().min(SLICE_BYTES));
+        Poll::Ready((!slice.is_empty()).then_some(Ok(slice)))
+    }
+}
+
 /// Watches the progress of an upload and the connection it uses.
 pub struct UploadWatch {
     progress: Rc<Progress>,
--- a/crates/gateway/tests/common/bad_clients.rs
+++ b/crates/gateway/tests/common/bad_clients.rs
@@ -126,6 +126,35 @@
     ]
 }
 
+/// Statements of the largest ordinary size, sent whole.
+pub fn large_statements(reads: bool) -> InputShape {
+    InputShape {
+        name: if reads { "statements of 64 KiB" } else { "statements of 64 KiB, answers unread" },
+        head: declared,
+        repeated: b"SELECT 1".to_vec(),
+        stalls_after: Some(declared(0).len() + 65_536),
+        reads,
+        has_statements: true,
+    }
+}
+
+/// Bodies beyond the ordinary size.
+pub fn large_bodies() -> [InputShape; 2] {
+    let byte_chunk = b"1\r\nS\r\n";
+    let shape = |name, stalls_after| InputShape {
+        name,
+        head: chunked,
+        repeated: byte_chunk.to_vec(),
+        stalls_after,
+        reads: true,
+        has_statements: true,
+    };
+    [
+        shape("large bodies in chunks of a byte, endless", None),
+        shape("large bodies in chunks of a byte, stalled", Some(400 * 1024 * byte_chunk.len())),
+    ]
+}
+
 struct BadClient {
     stream: TcpStream,
     unsent: Vec<u8>,
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -1,8 +1,9 @@
 //! The memory of the gateway's process under clients that send as much as they can.
 
 mod common;
-use bramblewharf_standins::{unused_address, Engine, TEST_TIMEOUT};
-use common::bad_clients::{attack, input_shapes, InputShape};
+use bramblewharf_gateway::config;
+use bramblewharf_standins::{answer, unused_address, Call, Engine, Reply, TEST_TIMEOUT};
+use common::bad_clients::{attack, input_shapes, large_bodies, large_statements, InputShape};
 use common::program::*;
 use common::*;
 use serde_json::json;
@@ -63,21 +64,38 @@
     Ok(answers)
 }
 
-/// The peak memory in bytes while bad clients send calls of this shape and usual clients are served.
-fn peak_under(limits: Limits, shape: &InputShape) -> u64 {
-    let engines = [Engine::healthy(), Engine::healthy()];
-    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
-    let mut configuration = configuration(&addresses);
+/// A gateway with these limits, ready to serve, and its address.
+fn start_program(limits: Limits, engines: &[SocketAddr], name: &str) -> (GatewayProcess, SocketAddr) {
+    start_program_with(limits, engines, name, &[])
+}
+
+/// The same with more arguments of the program.
+fn start_program_with(
+    limits: Limits,
+    engines: &[SocketAddr],
+    name: &str,
+    more: &[&str],
+) -> (GatewayProcess, SocketAddr) {
+    let mut configuration = configuration(engines);
     let listen = unused_address();
     configuration["listen"] = json!(listen.to_string());
     configuration["limits"] = json!({"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets});
-    // Usual clients are not rejected for want of capacity at engines.
+    // Clients are not rejected for want of capacity at engines.
     configuration["settings"]["domain"]["sizeCores"] = json!([1000]);
-    let name: String = shape.name.chars().filter(char::is_ascii_alphanumeric).collect();
+    let name: String = name.chars().filter(char::is_ascii_alphanumeric).collect();
     let file = temporary_path(&format!("memory-{}-{}-{name}.json", limits.memory_mb, limits.sockets));
     std::fs::write(&file, configuration.to_string()).unwrap();
-    let mut program = GatewayProcess::start(&file);
+    let program = GatewayProcess::start_with(&file, more);
     program.wait("serving");
+    std::fs::remove_file(&file).unwrap();
+    (program, listen)
+}
+
+/// The peak memory in bytes while bad clients send calls of this shape and usual clients are served.
+fn peak_under(limits: Limits, shape: &InputShape) -> u64 {
+    let engines = [Engine::healthy(), Engine::healthy()];
+    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let (mut program, listen) = start_program(limits, &addresses, shape.name);
     let (over, next_id) = (AtomicBool::new(false), AtomicU64::new(1));
     let texts = [
         "SELECT note FROM sales_17.orders".to_string(),
@@ -99,28 +117,168 @@
         }
     });
     assert!(program.child.try_wait().unwrap().is_none(), "{}: the gateway has ended", shape.name);
-    std::fs::remove_file(&file).unwrap();
     peak_memory_bytes(&program)
 }
 
-/// Runs all shapes and prints the memory of each before it judges them.
+/// How all engines answer in one case.
+struct EngineShape {
+    name: &'static str,
+    answer: fn(&Call) -> Reply,
+}
+
+fn chunks_of_a_byte(_: &Call) -> Reply {
+    let head = b"HTTP/1.1 200 OK\r\nPage-Count: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Reply::Raw([&head[..], &b"1\r\nx\r\n".repeat(20_000)].concat())
+}
+
+/// A result of the largest size, of characters that JSON writes in six bytes each.
+fn largest_result(call: &Call) -> Reply {
+    let page = "\u{1}".repeat(5_999) + "\n";
+    let number = call.path.rsplit('/').next().filter(|_| call.method == "GET" && !call.path.ends_with("/0"));
+    match number {
+        Some(number) => answer(200, &format!("Page-No: {number}\r\n"), page.as_bytes()),
+        None => answer(200, "Page-Count: 8\r\n", page.as_bytes()),
+    }
+}
+
+/// A result of as many pages as there may be, each of a row.
+fn most_pages(call: &Call) -> Reply {
+    let number = call.path.rsplit('/').next().filter(|_| call.method == "GET" && !call.path.ends_with("/0"));
+    match number {
+        Some(number) => answer(200, &format!("Page-No: {number}\r\n"), b"x\n"),
+        None => answer(200, "Page-Count: 32\r\n", b"x\n"),
+    }
+}
+
+const LARGEST_RESULT: &str = "the largest result";
+
+fn engine_shapes() -> [EngineShape; 7] {
+    [
+        EngineShape { name: "not yet over", answer: |_| answer(202, "", b"") },
+        EngineShape { name: "silence", answer: |_| Reply::Silent },
+        EngineShape { name: "chunks of a byte", answer: chunks_of_a_byte },
+        EngineShape { name: LARGEST_RESULT, answer: largest_result },
+        EngineShape { name: "the most pages", answer: most_pages },
+        EngineShape {
+            name: "an answer of 3 GB",
+            answer: |_| Reply::Endless(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n".to_vec()),
+        },
+        EngineShape {
+            name: "an endless head",
+            answer: |_| Reply::Endless(b"HTTP/1.1 200 OK\r\nX-Meter: ".to_vec()),
+        },
+    ]
+}
+
+/// The peak memory in bytes while clients send large statements and engines answer like this.
+fn peak_with_engines(limits: Limits, shape: &EngineShape, reads: bool) -> u64 {
+    let engines = [Engine::start(shape.answer), Engine::start(shape.answer)];
+    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let (mut program, listen) = start_program(limits, &addresses, &format!("engines-{reads}-{}", shape.name));
+    attack(listen, &large_statements(reads), limits.sockets as usize / 3);
+    assert!(program.child.try_wait().unwrap().is_none(), "{}: the gateway has ended", shape.name);
+    let live = "GET /status/live HTTP/1.1\r\nHost: h\r\n\r\n";
+    let mut stream = TcpStream::connect(listen).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    stream.write_all(live.as_bytes()).unwrap();
+    assert_eq!(Response::read(&mut BufReader::new(stream)).status, 200, "{}", shape.name);
+    peak_memory_bytes(&program)
+}
+
+fn check_limit_with_engines(limits: Limits) {
+    let mut judge = Judge::new(limits);
+    for shape in engine_shapes() {
+        judge.record(&format!("engines: {}", shape.name), peak_with_engines(limits, &shape, true));
+        if shape.name == LARGEST_RESULT {
+            judge.record(
+                &format!("engines: {}, unread", shape.name),
+                peak_with_engines(limits, &shape, false),
+            );
+        }
+    }
+    judge.finish();
+}
+
+/// Guards against memory of texts, of engines' answers and of results that is counted nowhere.
+#[test]
+fn large_statements_and_results_stay_within_32_mb() {
+    check_limit_with_engines(Limits { memory_mb: 32, sockets: 256 });
+}
+
+/// The same at the least memory with the most descriptors.
+#[test]
+fn large_statements_and_results_stay_within_32_mb_with_1024_descriptors() {
+    check_limit_with_engines(Limits { memory_mb: 32, sockets: 1024 });
+}
+
+/// Prints the memory of each case, and judges them at the end.
+struct Judge {
+    limits: Limits,
+    exceeded: Vec<String>,
+}
+
+impl Judge {
+    fn new(limits: Limits) -> Judge {
+        Judge { limits, exceeded: Vec::new() }
+    }
+
+    fn record(&mut self, name: &str, peak: u64) {
+        let Limits { memory_mb, sockets } = self.limits;
+        let megabytes = peak as f64 / 1e6;
+        println!("{memory_mb} MB, {sockets} descriptors: {megabytes:>6.1} MB, {name}");
+        if peak > memory_mb * 1_000_000 {
+            self.exceeded.push(format!("{name}: {megabytes:.1} MB"));
+        }
+    }
+
+    fn finish(self) {
+        assert!(self.exceeded.is_empty(), "over {} MB: {:?}", self.limits.memory_mb, self.exceeded);
+    }
+}
+
+/// Runs all shapes of clients' input.
 fn check_limit(limits: Limits) {
-    let limit = limits.memory_mb * 1_000_000;
-    let mut exceeded = Vec::new();
+    let mut judge = Judge::new(limits);
     for shape in input_shapes() {
-        let peak = peak_under(limits, &shape);
-        println!(
-            "{} MB, {} descriptors: {:>6.1} MB, {}",
-            limits.memory_mb,
-            limits.sockets,
-            peak as f64 / 1e6,
-            shape.name
-        );
-        if peak > limit {
-            exceeded.push(format!("{}: {:.1} MB", shape.name, peak as f64 / 1e6));
+        judge.record(shape.name, peak_under(limits, &shape));
+    }
+    judge.finish();
+}
+
+/// Guards against limits that together allow more than there is: connections, statements and calls beyond the
+/// ordinary, all at their bounds, with a third of the descriptors for clients.
+#[test]
+fn all_bounds_together_stay_within_the_memory() {
+    for memory_mb in (32..=192).step_by(4) {
+        for sockets in (256..=1024).step_by(32) {
+            let mut configuration = configuration(&[]);
+            configuration["limits"] = json!({ "memory_mb": memory_mb, "sockets": sockets });
+            let bounds = config::read(&configuration, None, None).unwrap().bounds;
+            assert!(bounds.planned_memory() <= memory_mb * 1_000_000, "{memory_mb} {sockets} {bounds:?}");
+            assert!(bounds.clients > sockets / 3 && bounds.stmts >= 16, "{memory_mb} {sockets} {bounds:?}");
         }
     }
-    assert!(exceeded.is_empty(), "over {} MB: {exceeded:?}", limits.memory_mb);
+}
+
+/// Guards against bodies beyond the ordinary size that are kept in pieces of a byte.
+#[test]
+fn large_bodies_in_small_chunks_stay_within_32_mb() {
+    let limits = Limits { memory_mb: 32, sockets: 256 };
+    let settings = temporary_path("memory-bodies.hcl");
+    let text = "bodies {\n largest = \"2 MiB\"\n memory {\n each = \"512 KiB\"\n pool = \"8 MiB\"\n }\n}\n";
+    std::fs::write(&settings, text).unwrap();
+    let engines = [Engine::healthy(), Engine::healthy()];
+    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let mut judge = Judge::new(limits);
+    for shape in large_bodies() {
+        let more = ["--settings", settings.to_str().unwrap()];
+        let (mut program, listen) = start_program_with(limits, &addresses, shape.name, &more);
+        attack(listen, &shape, limits.sockets as usize / 3);
+        assert!(program.child.try_wait().unwrap().is_none(), "{}: the gateway has ended", shape.name);
+        judge.record(shape.name, peak_memory_bytes(&program));
+    }
+    std::fs::remove_file(&settings).unwrap();
+    judge.finish();
 }
 
 /// Guards against a kill for memory: calls that are still arriving hold more than their bytes, and were
--- a/src/call_memory.rs
+++ b/src/call_memory.rs
@@ -1,6 +1,6 @@
-//! Memory of calls that are still arriving: how much of each call may be taken in at a time, how much memory
-//! the calls of all connections may hold together, and which of them gives way when that is used up. No I/O:
-//! the connections report what they hold and carry out the effects.
+//! Memory of calls: how much of a call that is arriving may be taken in at a time, how much memory the calls of
+//! all connections may hold together, with the texts and results of statements, and which call gives way when
+//! that is used up. No I/O: the connections report what they hold and carry out the effects.
 //!
 //! What an ordinary call holds is part of the memory of its connection and is not counted here. Anything
 //! beyond has to be granted before its bytes are taken in. Without a grant they stay unread; where calls have
@@ -25,12 +25,18 @@
 pub const ORDINARY_TEXT_BYTES: usize = 4 * 1024;
 pub const ORDINARY_HEAD_BYTES: usize = 4 * 1024;
 pub const ORDINARY_LINES: usize = 24;
+/// Bytes of an answer that any client may get without a grant, and of a result that a statement may have.
+pub const ORDINARY_ANSWER_BYTES: usize = 8 * 1024;
+/// Memory for each byte of an answer: the answer, and a copy in a buffer that doubles.
+const ANSWER_MEMORY_FACTOR: u64 = 3;
 /// Memory of a field of a head: its entry in a map of twice the size, and its name.
 const LINE_MEMORY_BYTES: u64 = 600;
 /// Memory of a chunk in a queue that doubles.
 const CHUNK_MEMORY_BYTES: u64 = 64;
 /// Memory for each byte of a head, which is kept in a buffer that doubles.
 const HEAD_MEMORY_FACTOR: u64 = 2;
+/// How long an answer waits for memory before an error is sent in its place.
+pub const ANSWER_WAIT: Duration = Duration::from_secs(1);
 /// A call that has been arriving for less than this time does not give way. Ordinary calls have arrived by
 /// then.
 const UNDISTURBED: Duration = Duration::from_millis(200);
@@ -48,6 +54,8 @@
     pub peak_body_lines: usize,
     /// Capacity of the buffer for the text.
     pub text_bytes: usize,
+    /// Bytes of the longest answer so far; their buffer is kept until the connection ends.
+    pub answer_bytes: usize,
 }
 
 impl Arriving {
@@ -57,7 +65,8 @@
         let lines = (self.head_lines + self.body_lines).saturating_sub(ORDINARY_LINES) as u64;
         let queue = self.peak_body_lines.saturating_sub(ORDINARY_LINES) as u64 * CHUNK_MEMORY_BYTES;
         let text = self.text_bytes.saturating_sub(ORDINARY_TEXT_BYTES) as u64;
-        head + lines * LINE_MEMORY_BYTES + queue + text
+        let answer = self.answer_bytes.saturating_sub(ORDINARY_ANSWER_BYTES) as u64 * ANSWER_MEMORY_FACTOR;
+        head + lines * LINE_MEMORY_BYTES + queue + text + answer
     }
 }
 
@@ -138,6 +147,22 @@
         false
     }
 
+    /// This much of what the connection holds now belongs to a statement, until it is given back.
+    pub fn detach(&mut self, connection: ConnectionNumber, bytes: u64) {
+        if let Some(holder) = self.holders.get_mut(&connection) {
+            holder.granted -= bytes.min(holder.granted);
+            holder.wanted = holder.granted;
+            if holder.granted == 0 {
+                self.holders.remove(&connection);
+            }
+        }
+    }
+
+    /// Gives back what was detached.
+    pub fn give_back(&mut self, bytes: u64) {
+        self.granted -= bytes.min(self.granted);
+    }
+
     /// The call on this connection is complete: it is not rejected any more.
     pub fn mark_complete(&mut self, connection: ConnectionNumber) {
         if let Some(holder) = self.holders.get_mut(&connection) {
@@ -145,11 +170,11 @@
         }
     }
 
-    /// The call on this connection is over. What its connection still holds may be taken back as if a call
-    /// had begun now.
+    /// The call on this connection is over, or its answer still being written. What the connection still holds
+    /// may be taken back as if a call had begun now.
     pub fn mark_idle(&mut self, now: Duration, connection: ConnectionNumber) {
         if let Some(holder) = self.holders.get_mut(&connection) {
-            (holder.is_complete, holder.since) = (false, now);
+            (holder.is_complete, holder.is_rejected, holder.since) = (false, false, now);
         }
     }
 
