--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -99,6 +99,7 @@
         });
         self.body.set(body);
         self.read_allowance.set(body.step());
+        self.memory.iter().for_each(|memory| memory.set_complete(true));
         if self.head_complete.take() {
             self.wake();
         }
@@ -123,7 +124,7 @@
         self.body.set(BodyFraming::Complete);
         if let Some(memory) = &self.memory {
             memory.update(|arriving| arriving.text_bytes = 0);
-            memory.mark_arrived();
+            memory.set_complete(true);
         }
         self.wake();
     }
--- a/crates/gateway/src/connection/call_memory.rs
+++ b/crates/gateway/src/connection/call_memory.rs
@@ -95,6 +95,7 @@
             wanted: Cell::new(0),
             waits: Cell::new(false),
             is_rejected: Cell::new(false),
+            is_complete: Cell::new(false),
             decided: Notify::new(),
         }
     }
@@ -144,7 +145,7 @@
         let asking = AskingResult { book: self, number: self.next_number.get() };
         self.next_number.set(asking.number + 1);
         if !self.hold(asking.number, bytes) {
-            self.decisions.borrow_mut().mark_complete(asking.number);
+            self.decisions.borrow_mut().set_complete(asking.number, true);
             let waiting = Rc::new(WaitingResult::default());
             self.results.borrow_mut().insert(asking.number, waiting.clone());
             while !waiting.is_granted.get() {
@@ -203,6 +204,8 @@
     waits: Cell<bool>,
     /// The call is rejected, as others need the memory.
     is_rejected: Cell<bool>,
+    /// No call is arriving that could be rejected.
+    is_complete: Cell<bool>,
     decided: Notify,
 }
 
@@ -229,6 +232,7 @@
         } else if needed > granted {
             self.wanted.set(needed);
             self.waits.set(!self.book.hold(self.number, needed));
+            self.set_complete(self.is_complete.get());
             if !self.waits.get() {
                 self.granted.set(needed);
             }
@@ -261,7 +265,7 @@
         let before = self.arriving.get();
         let mut is_granted =
             self.update(|arriving| arriving.answer_bytes = arriving.answer_bytes.max(length));
-        self.book.decisions.borrow_mut().mark_complete(self.number);
+        self.set_complete(true);
         let granted = async {
             while !is_granted {
                 self.decided.notified().await;
@@ -297,10 +301,11 @@
         self.book.detached(self.number, extra, text)
     }
 
-    /// The call has arrived, and is not rejected any more.
-    pub fn mark_arrived(&self) {
-        if self.granted.get() > 0 {
-            self.book.decisions.borrow_mut().mark_complete(self.number);
+    /// Whether the call is complete, or nothing of it is received: it is not rejected then.
+    pub fn set_complete(&self, is_complete: bool) {
+        self.is_complete.set(is_complete);
+        if self.granted.get() > 0 || self.waits.get() {
+            self.book.decisions.borrow_mut().set_complete(self.number, is_complete);
         }
     }
 
@@ -308,6 +313,7 @@
     pub fn end_call(&self) {
         let Arriving { head_bytes, answer_bytes, .. } = self.arriving.get();
         self.waits.set(false);
+        self.is_complete.set(false);
         self.update(|arriving| *arriving = Arriving { head_bytes, answer_bytes, ..Arriving::default() });
         self.mark_idle();
     }
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -93,7 +93,7 @@
     let hold =
         |bytes: usize| move |arriving: &mut bramblewharf::call_memory::Arriving| arriving.text_bytes = bytes;
     assert!(other.0.memory().unwrap().update(hold(60_000)));
-    other.0.memory().unwrap().mark_arrived();
+    other.0.memory().unwrap().set_complete(true);
     peer.write_all(head.as_bytes()).await.unwrap();
     let length = head.len();
     let reader = actix_rt::spawn(async move {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -198,12 +198,20 @@
     deadline: Instant,
     connection: Option<&Rc<Connection>>,
 ) -> Result<Received, BadCall> {
+    // The call may be rejected in favour of others while it is received here, and only then.
+    let set_complete = |is_complete| {
+        let memory = connection.and_then(|connection| connection.memory());
+        memory.into_iter().for_each(|memory| memory.set_complete(is_complete));
+    };
+    set_complete(false);
     let received = receive(core, payload, headers, workload, deadline, connection);
-    tokio::select! {
+    let received = tokio::select! {
         biased;
         received = received => received,
         () = memory_withdrawn(connection.map(Rc::as_ref)) => Ok(Received::NoCapacity),
-    }
+    };
+    set_complete(true);
+    received
 }
 
 async fn receive(
--- a/src/call_memory.rs
+++ b/src/call_memory.rs
@@ -163,10 +163,10 @@
         self.granted -= bytes.min(self.granted);
     }
 
-    /// The call on this connection is complete: it is not rejected any more.
-    pub fn mark_complete(&mut self, connection: ConnectionNumber) {
+    /// Whether the call on this connection is complete. Only one that is still arriving is rejected.
+    pub fn set_complete(&mut self, connection: ConnectionNumber, is_complete: bool) {
         if let Some(holder) = self.holders.get_mut(&connection) {
-            holder.is_complete = true;
+            holder.is_complete = is_complete;
         }
     }
 
--- a/tests/call_memory.rs
+++ b/tests/call_memory.rs
@@ -49,7 +49,7 @@
     assert!(memory.hold(ms(0), 1, 20));
     assert!(memory.hold(ms(0), 2, 30));
     assert!(memory.hold(ms(0), 3, 50));
-    memory.mark_complete(3);
+    memory.set_complete(3, true);
     assert!(!memory.hold(ms(10), 4, 25));
     assert_eq!(memory.review(ms(100)), []);
     assert_eq!(memory.review(ms(250)), [Effect::Reject(2)]);
@@ -111,7 +111,7 @@
             }
             Step::Complete(connection) => {
                 if granted.get(&connection).is_some_and(|bytes| *bytes > 0) {
-                    memory.mark_complete(connection);
+                    memory.set_complete(connection, true);
                     complete.insert(connection);
                 }
             }
