A text that waits for memory notices the grant

Found while reading the change again: receiving a text waits for its grant and for its rejection in one task, on one signal that woke one waiter; the grant woke whoever waited for the rejection, and the text went on waiting until its time was over (408 or 503). The signal now wakes both. The new test times out without the change and passes with it. The buffer of a text is allocated at exactly what was granted: reserve could take up to twice that.

--- a/crates/gateway/src/connection/call_memory.rs
+++ b/crates/gateway/src/connection/call_memory.rs
@@ -206,6 +206,7 @@
     is_rejected: Cell<bool>,
     /// No call is arriving that could be rejected.
     is_complete: Cell<bool>,
+    /// Wakes all who wait: one task may wait for the grant and for the rejection.
     decided: Notify,
 }
 
@@ -331,13 +332,13 @@
     pub fn resume(&self) {
         self.waits.set(false);
         self.granted.set(self.wanted.get());
-        self.decided.notify_one();
+        self.decided.notify_waiters();
     }
 
     /// The call gives its memory up.
     pub fn reject(&self) {
         self.is_rejected.set(true);
-        self.decided.notify_one();
+        self.decided.notify_waiters();
     }
 }
 
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -110,6 +110,40 @@
     assert_eq!(connections.call_memory().unwrap().rejected(), 0);
 }
 
+/// Guards against a grant that is taken by whoever waits for the rejection in the same task: a text would wait
+/// until its time is over.
+#[actix_rt::test]
+async fn a_text_that_waits_for_memory_goes_on_when_it_is_granted() {
+    let connections = Rc::new(Connections::for_clients(4, CallMemoryBook::new(64 * 1024), LONG, LONG));
+    let effects = connections.clone();
+    actix_rt::spawn(async move { effects.run_call_memory().await });
+    let (_other_peer, other) = pair(&connections).await;
+    let (_peer, stream) = pair(&connections).await;
+    let hold =
+        |bytes: usize| move |arriving: &mut bramblewharf::call_memory::Arriving| arriving.text_bytes = bytes;
+    assert!(other.0.memory().unwrap().update(hold(60_000)));
+    other.0.memory().unwrap().set_complete(true);
+    let connection = stream.0.clone();
+    let waiting = actix_rt::spawn(async move {
+        let memory = connection.memory().unwrap();
+        let granted = async {
+            // The rejection is waited for first.
+            tokio::task::yield_now().await;
+            memory.acquire(hold(40_000)).await
+        };
+        tokio::select! {
+            biased;
+            granted = granted => granted,
+            () = memory.wait_for_rejection() => false,
+        }
+    });
+    while connections.call_memory().unwrap().waiting() == 0 {
+        tokio::task::yield_now().await;
+    }
+    other.0.memory().unwrap().update(hold(0));
+    assert!(timeout(LONG / 60, waiting).await.unwrap().unwrap());
+}
+
 /// A call must not be written to a connection that has ended or holds unsolicited bytes.
 #[actix_rt::test]
 async fn a_call_is_written_only_to_a_quiet_connection() {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -150,7 +150,10 @@
         if !self.acquire(capacity).await {
             return false;
         }
-        self.text.reserve(capacity - self.text.len());
+        // Exactly what was granted; `reserve` may take more.
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(&self.text);
+        self.text = grown;
         true
     }
 
