The time that a call waits for memory does not count against it

Found with usual clients of 40 KB texts: one was answered 503 since it had waited. What a call holds counts over the time that it did not wait; where all only wait, the one with the most still gives way.

--- a/src/call_memory.rs
+++ b/src/call_memory.rs
@@ -83,13 +83,28 @@
 struct Holder {
     granted: u64,
     wanted: u64,
-    /// When it first held more than an ordinary call.
+    /// When it first held more than an ordinary call, later by the time that it has waited for a grant.
     since: Duration,
+    /// Since when it waits for a grant.
+    waits_since: Option<Duration>,
     /// The call is complete: it is answered whatever happens.
     is_complete: bool,
     is_rejected: bool,
 }
 
+impl Holder {
+    /// How long it has held its memory without waiting for more.
+    fn own_time(&self, now: Duration) -> Duration {
+        self.waits_since.unwrap_or(now).saturating_sub(self.since)
+    }
+
+    fn end_wait(&mut self, now: Duration) {
+        if let Some(began) = self.waits_since.take() {
+            self.since += now.saturating_sub(began);
+        }
+    }
+}
+
 /// The memory of all calls that are arriving.
 #[derive(Debug)]
 pub struct CallMemory {
@@ -129,6 +144,7 @@
             granted: 0,
             wanted: 0,
             since: now,
+            waits_since: None,
             is_complete: false,
             is_rejected: false,
         });
@@ -138,9 +154,11 @@
         if fits && (is_first || bytes <= holder.granted) {
             self.granted = self.granted - holder.granted + bytes;
             holder.granted = bytes;
+            holder.end_wait(now);
             self.waiting.retain(|waiting| *waiting != connection);
             return true;
         }
+        holder.waits_since.get_or_insert(now);
         if !self.waiting.contains(&connection) {
             self.waiting.push_back(connection);
         }
@@ -183,7 +201,7 @@
         let Some(holder) = self.holders.get_mut(&connection) else { return };
         let kept = bytes.min(holder.granted);
         self.granted -= holder.granted - kept;
-        (holder.granted, holder.wanted) = (kept, kept);
+        (holder.granted, holder.wanted, holder.waits_since) = (kept, kept, None);
         self.waiting.retain(|waiting| *waiting != connection);
         if kept == 0 {
             self.holders.remove(&connection);
@@ -201,6 +219,7 @@
             if needed <= self.capacity {
                 self.granted = needed;
                 holder.granted = holder.wanted;
+                holder.end_wait(now);
                 effects.push(Effect::Resume(connection));
             } else {
                 first_missing.get_or_insert(needed - self.capacity);
@@ -218,12 +237,18 @@
         let rejected = self.holders.values().filter(|holder| holder.is_rejected);
         let mut coming: u64 = rejected.map(|holder| holder.granted).sum();
         while coming < missing {
-            let age = |holder: &Holder| now.saturating_sub(holder.since);
-            let candidates = self.holders.iter_mut().filter(|(_, holder)| {
-                !holder.is_rejected && !holder.is_complete && holder.granted > 0 && age(holder) >= UNDISTURBED
+            let may_be_rejected = |holder: &Holder| {
+                !holder.is_rejected
+                    && !holder.is_complete
+                    && holder.granted > 0
+                    && now.saturating_sub(holder.since) >= UNDISTURBED
+            };
+            let candidates = self.holders.iter_mut().filter(|(_, holder)| may_be_rejected(holder));
+            let most = candidates.max_by_key(|(_, holder)| {
+                // Those that do not go on by themselves come before those that only wait for memory.
+                let own_time = holder.own_time(now);
+                (own_time >= UNDISTURBED, u128::from(holder.granted) * own_time.as_micros())
             });
-            let most =
-                candidates.max_by_key(|(_, holder)| u128::from(holder.granted) * age(holder).as_micros());
             let Some((connection, holder)) = most else { return };
             holder.is_rejected = true;
             coming += holder.granted;
