--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -144,6 +144,48 @@
     assert!(timeout(LONG / 60, waiting).await.unwrap().unwrap());
 }
 
+/// An answer without memory is given up in time, and leaves nothing asked for; one that gets memory keeps it for
+/// the buffer of its connection.
+#[actix_rt::test]
+async fn an_answer_waits_for_memory_for_a_limited_time() {
+    let book = CallMemoryBook::new(64 * 1024);
+    let (full, answer) = (book.claim(), book.claim());
+    assert!(full.update(|arriving| arriving.text_bytes = 60_000));
+    assert!(!answer.acquire_answer(20_000).await);
+    assert_eq!((book.waiting(), answer.waits()), (0, false));
+    let held = book.granted();
+    full.update(|arriving| arriving.text_bytes = 0);
+    assert!(held > 0 && book.granted() == 0);
+    assert!(answer.acquire_answer(20_000).await);
+    answer.end_call();
+    assert!(book.granted() > 0);
+    drop(answer);
+    assert_eq!(book.granted(), 0);
+}
+
+/// A page of a result waits until there is memory for it, and is counted until its last copy is dropped.
+#[actix_rt::test]
+async fn a_page_is_counted_until_its_last_copy_is_dropped() {
+    let connections = Rc::new(Connections::for_clients(4, CallMemoryBook::new(64 * 1024), LONG, LONG));
+    let effects = connections.clone();
+    actix_rt::spawn(async move { effects.run_call_memory().await });
+    let book = connections.call_memory().unwrap();
+    let full = book.count_page(&[1; 60_000]).await;
+    let mut waiting = Box::pin(book.count_page(&[2; 8_000]));
+    assert!(waiting.as_mut().now_or_never().is_none() && book.waiting() == 1);
+    let copy = full.clone();
+    drop(full);
+    assert!(timeout(LONG / 600, waiting.as_mut()).await.is_err());
+    drop(copy);
+    let page = timeout(LONG, waiting).await.unwrap();
+    assert_eq!((page.len(), book.granted()), (8_000, 8_000));
+    // One that is no longer wanted leaves nothing asked for.
+    let mut abandoned = Box::pin(book.count_page(&[3; 60_000]));
+    assert!(abandoned.as_mut().now_or_never().is_none());
+    drop(abandoned);
+    assert_eq!((book.waiting(), book.granted()), (0, 8_000));
+}
+
 /// A call must not be written to a connection that has ended or holds unsolicited bytes.
 #[actix_rt::test]
 async fn a_call_is_written_only_to_a_quiet_connection() {
