A client that left during a pause is noticed before its statement is sent

Change: right before the first byte the sockets of the client's open calls are asked (poll, POLLRDHUP), and what they tell goes to the reducer as the inputs that exist; the send guard decides as before. No session for a client that has gone. The time that a polling client is away counts from when it can have closed its connection.

The gateway's tests pass.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -14,9 +14,9 @@
 use bytes::BytesMut;
 pub use call_memory::{CallMemoryBook, MemoryClaim};
 pub use client_reader::BodyFraming;
-use futures_util::FutureExt as _;
 use head_scan::HeadScan;
 use linger::Linger;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::io;
@@ -24,7 +24,7 @@
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
 /// The longest time from computing a request's headers to writing its first byte. A process that was not
@@ -180,11 +180,13 @@
         self.head_scan.get() == HeadScan::BareLineFeed
     }
 
-    /// Whether the peer has closed its side, even with unread bytes before the end.
-    fn has_hung_up(&self) -> bool {
+    /// Whether the peer has closed its side, as the socket tells right now, even with unread bytes before the
+    /// end.
+    pub fn has_hung_up(&self) -> bool {
         let stream = self.stream.borrow();
-        let ready = stream.as_ref().map(|stream| stream.ready(Interest::READABLE).now_or_never());
-        ready.is_none_or(|ready| ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed())))
+        let Some(stream) = stream.as_ref() else { return true };
+        let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+        poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
     }
 
     /// Resets the idle time of an engine connection.
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use actix_rt::time::timeout;
 use bramblewharf::call_memory::{CHUNKED_STEP_BYTES, READ_AHEAD_BYTES};
+use futures_util::FutureExt as _;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,13 +1,14 @@
 //! HTTP frontend for clients, built on actix-http. It translates calls into inputs of the reducer and the
 //! reducer's answers into HTTP responses, and makes no decisions of its own.
 
+use crate::client_presence::{ClientPresence, ClientStatus};
 use crate::closes::CloseReason;
 use crate::config::Bounds;
 use crate::connection::{BodyFraming, CallMemoryBook, Connection, Connections, TrackedStream};
 use crate::intake::{self, Received};
 use crate::reducer::{Answer, EngineRequest, Input, StatementText, SubmittedStatement};
 use crate::runtime::Core;
-use crate::sessions::Sessions;
+use crate::sessions::{client_closed, Sessions};
 use crate::tables;
 use actix_http::body::BoxBody;
 use actix_http::error::DispatchError;
@@ -264,8 +265,7 @@
             (&Method::GET, Some(path)) => {
                 match self.sessions.get(path.strip_prefix(RESULT_PREFIX).unwrap_or_default()) {
                     Some(session) => {
-                        let answer =
-                            session.wait_for_answer(POLL_TIMEOUT, client_closed(connection.as_deref())).await;
+                        let answer = session.wait_for_answer(&core, POLL_TIMEOUT, connection.as_ref()).await;
                         let answer = with_memory(connection.as_deref(), answer).await;
                         mark_not_kept(statement_response(&session.path, answer), session.not_kept.as_ref())
                     }
@@ -303,14 +303,6 @@
     response
 }
 
-/// Returns once the client has closed its side of the connection.
-async fn client_closed(connection: Option<&Connection>) {
-    match connection {
-        Some(connection) => connection.wait_for_end().await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Keeps a call open on the connection until it is dropped.
 struct OpenCall(Rc<Connection>);
 
@@ -376,7 +368,9 @@
     core.pause_detector.record_activity(now);
     statement.time_left = statement.time_left.saturating_sub(core.pause_detector.queueing_delay(now));
     let id = statement.id.clone();
-    let (caller, mut answer) = core.register_caller();
+    let client = ClientPresence::new(now);
+    let open_call = client.open_call(connection.as_ref());
+    let (caller, mut answer) = core.register_caller(client.clone());
     let mut disconnect_guard = DisconnectGuard { core: core.clone(), id: Some(id.clone()), caller };
     core.input(Input::Statement(SubmittedStatement { caller, statement, engine_request }));
     if let Some(remainder) = &mut remainder {
@@ -398,15 +392,20 @@
         core.input(Input::ClientDisconnected(id.clone()));
         std::future::pending::<Infallible>().await
     };
-    let answered = tokio::select! {
+    let mut answered = tokio::select! {
         biased;
         answered = &mut answer => Some(answered.unwrap_or(Answer::Aborted)),
         never = disconnected => match never {},
         () = sleep(FIRST_RESPONSE_TIMEOUT), if sessions.has_capacity() => None,
     };
+    if answered.is_none() && core.check_client(&id, &client) == ClientStatus::Disconnected {
+        // Nobody would poll.
+        answered = Some((&mut answer).await.unwrap_or(Answer::Aborted));
+    }
     disconnect_guard.id = None;
+    drop(open_call);
     let response = match with_memory(connection.as_deref(), answered).await {
-        None => statement_response(&sessions.open(core, id, answer, not_kept.clone()), None),
+        None => statement_response(&sessions.open(core, id, client, answer, not_kept.clone()), None),
         answered => statement_response("", answered),
     };
     Ok(mark_not_kept(response, not_kept.as_ref()))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! with `config`, then call `Gateway::start` and `Gateway::shut_down`.
 
 pub mod cli;
+mod client_presence;
 mod closes;
 pub mod config;
 mod connection;
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -334,6 +334,11 @@
         self.scheduler.recheck(now, id, execution)
     }
 
+    /// The caller that waits for the answer to a statement.
+    pub fn caller(&self, id: &Id) -> Option<u64> {
+        self.statements.get(id).filter(|stmt| stmt.answer_timer.is_some()).map(|stmt| stmt.caller)
+    }
+
     /// Verifies, as the first byte of an execution goes out, the invariants of sending against the reducer's
     /// own state.
     pub fn check_send(&mut self, now: Duration, id: &Id, execution: usize) {
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -1,5 +1,6 @@
 //! Runs the gateway on one thread: startup, the effects that the reducer asks for, reloads and shutdown.
 
+use crate::client_presence::{ClientPresence, ClientStatus};
 use crate::config::{self, Bounds, RestartOnlySettings, Start};
 use crate::connection::{CallMemoryBook, Connections};
 use crate::discovery::{EngineSnapshot, ListUpdate, NameServiceClient};
@@ -123,6 +124,12 @@
     known: Option<EngineSnapshot>,
 }
 
+/// A call that waits for an answer.
+struct PendingAnswer {
+    sender: oneshot::Sender<Answer>,
+    client: Rc<ClientPresence>,
+}
+
 /// The reducer, and the state that its effects need.
 pub struct Core {
     reducer: RefCell<Reducer>,
@@ -159,7 +166,7 @@
     list_confirmed: Rc<Cell<TimerInstant>>,
     next_caller: Cell<u64>,
     /// Calls that wait for an answer, by caller.
-    pending_answers: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
+    pending_answers: RefCell<HashMap<u64, PendingAnswer>>,
     /// Tasks of executions, by statement and execution.
     running: RefCell<HashMap<(Id, usize), JoinHandle<()>>>,
     /// Cancels in progress, by statement and engine: the statement waits for them before it is sent to that
@@ -238,14 +245,56 @@
     }
 
     /// Registers a new caller: its number, and the channel on which its answer comes.
-    pub fn register_caller(&self) -> (u64, oneshot::Receiver<Answer>) {
+    pub fn register_caller(&self, client: Rc<ClientPresence>) -> (u64, oneshot::Receiver<Answer>) {
         let caller = self.next_caller.get();
         self.next_caller.set(caller + 1);
         let (sender, receiver) = oneshot::channel();
-        self.pending_answers.borrow_mut().insert(caller, sender);
+        self.pending_answers.borrow_mut().insert(caller, PendingAnswer { sender, client });
         (caller, receiver)
     }
 
+    /// When data that is read now may have arrived at the earliest.
+    pub fn earliest_arrival(&self, now: Instant) -> Instant {
+        self.pause_detector.record_activity(now);
+        now.checked_sub(self.pause_detector.queueing_delay(now)).unwrap_or(now)
+    }
+
+    /// Looks at the connections of a statement's client, and reports a client that has left or is away, or is
+    /// there again.
+    pub fn check_client(self: &Rc<Self>, id: &Id, client: &ClientPresence) -> ClientStatus {
+        let status = self.client_status(client);
+        match status {
+            ClientStatus::Disconnected => self.input(Input::ClientDisconnected(id.clone())),
+            ClientStatus::Present | ClientStatus::Away => {
+                let away = status == ClientStatus::Away;
+                if client.report_away(away) {
+                    self.input(Input::ClientAway(id.clone(), away));
+                }
+            }
+        }
+        status
+    }
+
+    fn client_status(&self, client: &ClientPresence) -> ClientStatus {
+        let now = Instant::now();
+        client.status(now, now - self.earliest_arrival(now))
+    }
+
+    /// Waits for the next call of a client that polls, if it may have arrived during a pause of this process
+    /// and not have been read yet.
+    async fn wait_for_next_poll(&self, client: &ClientPresence) {
+        let has_backlog = self.pause_detector.catch_up_left(Instant::now()).is_some();
+        if has_backlog && self.client_status(client) == ClientStatus::Away {
+            self.wait_for_backlog().await;
+        }
+    }
+
+    /// The client that waits for the answer to a statement.
+    fn client_of(&self, id: &Id) -> Option<Rc<ClientPresence>> {
+        let caller = self.reducer.borrow().caller(id)?;
+        Some(self.pending_answers.borrow().get(&caller)?.client.clone())
+    }
+
     /// Drops the answer channel of a caller that no longer waits.
     pub fn forget_caller(&self, caller: u64) {
         self.pending_answers.borrow_mut().remove(&caller);
@@ -259,10 +308,10 @@
     fn run_effect(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Answer { caller, answer } => {
-                let sender = self.pending_answers.borrow_mut().remove(&caller);
-                self.trace.answered(caller, &answer, sender.is_some());
-                if let Some(sender) = sender {
-                    let _ = sender.send(answer);
+                let pending = self.pending_answers.borrow_mut().remove(&caller);
+                self.trace.answered(caller, &answer, pending.is_some());
+                if let Some(pending) = pending {
+                    let _ = pending.sender.send(answer);
                 }
             }
             Effect::Start { id, execution, engine, address, engine_request, mem_mb, timeout, not_after } => {
@@ -287,7 +336,14 @@
                             cancel_task.abort();
                         }
                     }
+                    let client = core.client_of(&id);
+                    if let Some(client) = &client {
+                        core.wait_for_next_poll(client).await;
+                    }
                     let may_begin = || {
+                        client.iter().for_each(|client| {
+                            core.check_client(&id, client);
+                        });
                         let now = core.clock.now();
                         let in_time = not_after.is_none_or(|end| now <= end);
                         let held_back_by = core.reducer.borrow().recheck(now, &id, execution);
--- a/crates/gateway/src/sessions.rs
+++ b/crates/gateway/src/sessions.rs
@@ -2,6 +2,8 @@
 //! with a path to poll, so that a broken connection does not end it and a client that disappeared silently
 //! does not keep it running for long.
 
+use crate::client_presence::{ClientPresence, ClientStatus, NOT_POLLING_AFTER};
+use crate::connection::Connection;
 use crate::reducer::{Answer, Input};
 use crate::runtime::Core;
 use actix_rt::time::{sleep_until, timeout};
@@ -13,9 +15,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, Notify};
 
-/// A client with no open call for this long is not polling, and no new execution starts for it, as it may
-/// have disconnected. A client whose connection broke calls again at once.
-const NOT_POLLING_AFTER: Duration = Duration::from_millis(80);
 /// A client with no open call for this long has disconnected. An answer is kept for this long after the last
 /// poll.
 const DISCONNECTED_AFTER: Duration = Duration::from_secs(2);
@@ -28,12 +27,7 @@
     pub path: String,
     answer: RefCell<Option<Answer>>,
     answered: Notify,
-    /// Number of open calls.
-    open_calls: Cell<usize>,
-    /// When the last call ended.
-    last_call_ended: Cell<Instant>,
-    /// A call has begun or ended.
-    calls_changed: Notify,
+    client: Rc<ClientPresence>,
     /// The answer was returned to a call.
     delivered: Cell<bool>,
     /// Whether the body is not kept; the body store updates it.
@@ -93,6 +87,7 @@
         self: &Rc<Self>,
         core: &Rc<Core>,
         id: Id,
+        client: Rc<ClientPresence>,
         mut answer: oneshot::Receiver<Answer>,
         not_kept: Option<Rc<Cell<bool>>>,
     ) -> String {
@@ -103,16 +98,15 @@
             path: path.clone(),
             answer: RefCell::default(),
             answered: Notify::new(),
-            open_calls: Cell::new(0),
-            last_call_ended: Cell::new(Instant::now()),
-            calls_changed: Notify::new(),
+            client: client.clone(),
             delivered: Cell::new(false),
             not_kept,
         });
+        client.begin_polling(Instant::now());
         self.by_path.borrow_mut().insert(path.clone(), session.clone());
         let (sessions, core) = (self.clone(), core.clone());
         actix_rt::spawn(async move {
-            let mut not_polling = false;
+            let mut status = ClientStatus::Present;
             loop {
                 tokio::select! {
                     biased;
@@ -120,22 +114,23 @@
                         session.set_answer(answer.unwrap_or(Answer::Aborted));
                         break;
                     }
-                    () = session.calls_changed.notified() => {}
-                    () = session.idle_for(if not_polling { DISCONNECTED_AFTER } else { NOT_POLLING_AFTER }) => {}
+                    () = client.calls_changed() => {}
+                    () = session.idle_for(match status {
+                        ClientStatus::Present => NOT_POLLING_AFTER,
+                        _ => DISCONNECTED_AFTER,
+                    }) => {}
                 }
                 core.wait_for_backlog().await;
-                let idle = session.idle_time();
-                if idle >= DISCONNECTED_AFTER {
+                if client.idle_time(Instant::now()) >= DISCONNECTED_AFTER {
                     // The reducer answers at once, which ends this loop.
                     core.input(Input::ClientDisconnected(id.clone()));
-                } else if not_polling != (idle >= NOT_POLLING_AFTER) {
-                    not_polling = !not_polling;
-                    core.input(Input::ClientAway(id.clone(), not_polling));
+                } else {
+                    status = core.check_client(&id, &client);
                 }
             }
-            while session.idle_time() < DISCONNECTED_AFTER {
+            while client.idle_time(Instant::now()) < DISCONNECTED_AFTER {
                 tokio::select! {
-                    () = session.calls_changed.notified() => {}
+                    () = client.calls_changed() => {}
                     () = session.idle_for(DISCONNECTED_AFTER) => core.wait_for_backlog().await,
                 }
             }
@@ -152,32 +147,22 @@
         self.answered.notify_waiters();
     }
 
-    /// How long no call has been open.
-    fn idle_time(&self) -> Duration {
-        if self.open_calls.get() == 0 {
-            self.last_call_ended.get().elapsed()
-        } else {
-            Duration::ZERO
-        }
-    }
-
     /// Returns once no call has been open for `span`; never while a call is open.
     async fn idle_for(&self, span: Duration) {
-        match self.open_calls.get() {
-            0 => sleep_until((self.last_call_ended.get() + span).into()).await,
-            _ => std::future::pending().await,
+        match self.client.has_open_call() {
+            false => sleep_until((self.client.last_call_ended() + span).into()).await,
+            true => std::future::pending().await,
         }
     }
 
     /// The answer, if there is one within `time_limit` and before the client has closed its connection.
     pub async fn wait_for_answer(
         &self,
+        core: &Core,
         time_limit: Duration,
-        client_closed: impl std::future::Future<Output = ()>,
+        connection: Option<&Rc<Connection>>,
     ) -> Option<Answer> {
-        self.open_calls.set(self.open_calls.get() + 1);
-        self.calls_changed.notify_one();
-        let _call = OpenCall(self);
+        let call = self.client.open_call(connection);
         let answered = async {
             while self.answer.borrow().is_none() {
                 self.answered.notified().await;
@@ -186,7 +171,10 @@
         tokio::select! {
             biased;
             _ = timeout(time_limit, answered) => {}
-            () = client_closed => return None,
+            () = client_closed(connection.map(Rc::as_ref)) => {
+                call.closed_by_client(core.earliest_arrival(Instant::now()));
+                return None;
+            }
         }
         let answer = self.answer.borrow().clone();
         self.delivered.set(answer.is_some());
@@ -194,13 +182,10 @@
     }
 }
 
-/// Counts as an open call on the session until it is dropped.
-struct OpenCall<'a>(&'a Session);
-
-impl Drop for OpenCall<'_> {
-    fn drop(&mut self) {
-        self.0.open_calls.set(self.0.open_calls.get() - 1);
-        self.0.last_call_ended.set(Instant::now());
-        self.0.calls_changed.notify_one();
+/// Returns once the client has closed its side of the connection.
+pub async fn client_closed(connection: Option<&Connection>) {
+    match connection {
+        Some(connection) => connection.wait_for_end().await,
+        None => std::future::pending().await,
     }
 }
