An execution's time counts from its decision, not from when it is carried out

Callers saw: engines were passed more time than the client had left (DeadlinePassedOn), 562 ms where 390 were left, by one pause.

Cause, by the debug lines: the time-out of an execution is worked out by the reducer at the time of its step, and its end was that time-out after the moment when the effect was carried out; a pause in between was added. The step of a batch after a pause takes milliseconds, so stops in short turns hit it.

Change: its end counts from the time of the step.

--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -197,12 +197,12 @@
             return true;
         }
         self.pause_detector.record_activity(Instant::now());
-        let faults = self.faults.get();
+        let (faults, decided_at) = (self.faults.get(), self.clock.now());
         self.trace.input(&input);
         let (effects, due_changed) = {
             let mut reducer = self.reducer.borrow_mut();
             let before = reducer.next_wake();
-            let step = AssertUnwindSafe(|| reducer.step(self.clock.now(), input));
+            let step = AssertUnwindSafe(|| reducer.step(decided_at, input));
             // A panic in the reducer costs one input, not the gateway: timers and other statements continue.
             let effects = catch_unwind(step).unwrap_or_else(|panic| {
                 self.faults.set(self.faults.get() + 1);
@@ -224,7 +224,7 @@
             let fact = reducer.policy().filter(|_| link.has_facts_file()).map(|policy| policy.fact(now));
             reducer.fleet().into_iter().for_each(|node| link.record_facts(now, node, fact.as_ref()));
         }
-        effects.into_iter().for_each(|effect| self.run_effect(effect));
+        effects.into_iter().for_each(|effect| self.run_effect(decided_at, effect));
         self.faults.get() == faults
     }
 
@@ -305,7 +305,9 @@
         *self.bad_calls.borrow_mut().entry(kind).or_default() += 1;
     }
 
-    fn run_effect(self: &Rc<Self>, effect: Effect) {
+    /// Carries out an effect. `decided_at`: the time that its spans count from; this process may have been
+    /// paused since.
+    fn run_effect(self: &Rc<Self>, decided_at: Duration, effect: Effect) {
         match effect {
             Effect::Answer { caller, answer } => {
                 let pending = self.pending_answers.borrow_mut().remove(&caller);
@@ -326,7 +328,7 @@
                     timeout,
                     list_age,
                 });
-                let until = Instant::now() + timeout;
+                let until = self.clock.instant(decided_at + timeout).into_std();
                 let cancel_task = self.cancelling.borrow_mut().remove(&(id.clone(), engine));
                 let key = (id.clone(), execution);
                 let task = actix_rt::spawn(async move {
@@ -721,7 +723,8 @@
             faults: Cell::new(0),
             closed: Cell::new(false),
         });
-        first_effects.into_iter().for_each(|effect| core.run_effect(effect));
+        let started_at = core.clock.now();
+        first_effects.into_iter().for_each(|effect| core.run_effect(started_at, effect));
         core.input(Input::EngineList(ListKind::Cached, start.cached_engines.engines));
         if start.name_service.is_some() {
             // The list in the configuration counts as confirmed at the start.
