A call's time counts from when its bytes reached the socket

Callers saw: engines were passed more time than the client had left (DeadlinePassedOn), by some 200 ms, beside load and after pauses.

Cause, by the debug lines: how long a call waited unread was a guess by the wall clock, right if it is read within 60 ms after a pause.

Change: the system is asked when the connection's last bytes came (TCP_INFO), at each read from a client. The guess stays as the lower bound.

The unit test a_call_counts_as_arrived_when_its_bytes_reached_the_socket has no counterpart in the code before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -6,6 +6,7 @@
 mod client_reader;
 mod head_scan;
 mod linger;
+mod unread_time;
 
 use crate::closes::{CloseCounts, CloseReason};
 use crate::exchange::Exchange;
@@ -42,6 +43,8 @@
     call_count: Cell<u64>,
     head_begun_at: Cell<Option<Instant>>,
     head_scan: Cell<HeadScan>,
+    /// Client connections only: when the bytes of the call that were read last had arrived.
+    arrived_at: Cell<Instant>,
     /// Client connections only: the length of that head so far.
     head_length: Cell<usize>,
     /// A call was refused: no further call is read, and the rest of that one is discarded so that the client
@@ -106,6 +109,11 @@
         begun
     }
 
+    /// When the part of the open call that was read last had arrived.
+    pub fn arrived_at(&self) -> Instant {
+        self.arrived_at.get()
+    }
+
     /// What was handed on of the body of the open call has been copied: the next part may follow.
     pub fn allow_next_step(&self) {
         if self.read_allowance.get() > 0 || self.body.get() == BodyFraming::Complete {
@@ -475,6 +483,7 @@
             call_count: Cell::new(0),
             head_begun_at: Cell::new(None),
             head_scan: Cell::new(HeadScan::Complete),
+            arrived_at: Cell::new(Instant::now()),
             head_length: Cell::new(0),
             refused: Cell::new(false),
             write_closed: Cell::new(false),
--- a/crates/gateway/src/connection/client_reader.rs
+++ b/crates/gateway/src/connection/client_reader.rs
@@ -3,6 +3,7 @@
 //! they stand for, and what it is not given yet stays in the socket, or is deferred up to a bound.
 
 use super::head_scan::HeadScan;
+use super::unread_time::unread_time;
 use super::{Connection, HANG_UP_CHECK_INTERVAL};
 use actix_http::header::{self, HeaderMap};
 use actix_rt::net::TcpStream;
@@ -12,7 +13,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, ReadBuf};
 
 /// What is still to come of the body of a call.
@@ -135,11 +136,16 @@
         let mut deferred = self.deferred.borrow_mut();
         let length = if deferred.is_empty() {
             let mut part = ReadBuf::new(buf.initialize_unfilled_to(limit));
-            ready!(Pin::new(stream).poll_read(cx, &mut part))?;
+            ready!(Pin::new(&mut *stream).poll_read(cx, &mut part))?;
             let length = part.filled().len();
+            self.record_arrival(unread_time(stream));
             buf.advance(length);
             length
         } else {
+            if self.idle_since.get().is_some() && self.head_begun_at.get().is_none() {
+                // Read ahead, behind the call before.
+                self.record_arrival(Duration::ZERO);
+            }
             let length = deferred.len().min(limit);
             buf.put_slice(&deferred[..length]);
             deferred.advance(length);
@@ -154,6 +160,11 @@
         Poll::Ready(Ok(length))
     }
 
+    fn record_arrival(&self, unread_time: Duration) {
+        let now = Instant::now();
+        self.arrived_at.set(now.checked_sub(unread_time).unwrap_or(now));
+    }
+
     fn mark_ended(&self) {
         self.peer_ended.set(true);
         self.end_notify.notify_one();
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -2,7 +2,7 @@
 use actix_rt::time::timeout;
 use bramblewharf::call_memory::{CHUNKED_STEP_BYTES, READ_AHEAD_BYTES};
 use futures_util::FutureExt as _;
-use tokio::io::AsyncReadExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 
 const LONG: Duration = Duration::from_secs(60);
@@ -39,7 +39,6 @@
 /// call is over.
 #[actix_rt::test]
 async fn reading_ahead_is_bounded_while_a_call_is_open() {
-    use tokio::io::AsyncWriteExt as _;
     let connections = Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG);
     let (mut peer, mut stream) = pair(&connections).await;
     stream.0.begin_call(BodyFraming::Declared(4));
@@ -67,7 +66,6 @@
 /// once the one before it has been taken.
 #[actix_rt::test]
 async fn a_chunked_body_is_handed_on_step_by_step() {
-    use tokio::io::AsyncWriteExt as _;
     let connections = Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG);
     let (mut peer, mut stream) = pair(&connections).await;
     stream.0.begin_call(BodyFraming::Chunked);
@@ -84,7 +82,6 @@
 /// A call that gets no memory is not read any further, and goes on once another one has released some.
 #[actix_rt::test]
 async fn a_call_without_memory_waits_unread_and_goes_on_later() {
-    use tokio::io::AsyncWriteExt as _;
     let connections = Rc::new(Connections::for_clients(4, CallMemoryBook::new(64 * 1024), LONG, LONG));
     let effects = connections.clone();
     actix_rt::spawn(async move { effects.run_call_memory().await });
@@ -190,7 +187,6 @@
 /// A call must not be written to a connection that has ended or holds unsolicited bytes.
 #[actix_rt::test]
 async fn a_call_is_written_only_to_a_quiet_connection() {
-    use tokio::io::AsyncWriteExt as _;
     let connections = Connections::for_engines(100, LONG);
     let (mut peer, mut quiet) = pair(&connections).await;
     quiet.write_all(b"call").await.unwrap();
@@ -215,7 +211,6 @@
 /// Guards against sending a call with headers that were computed before a pause of this process.
 #[actix_rt::test]
 async fn a_call_whose_first_byte_is_late_is_not_written() {
-    use tokio::io::AsyncWriteExt as _;
     let connections = Connections::for_engines(100, LONG);
     let (mut peer, mut stream) = pair(&connections).await;
     stream.0.prepare_send();
@@ -238,7 +233,6 @@
 /// destroy the answer by a reset, and none of them is handed on.
 #[actix_rt::test]
 async fn unread_bytes_do_not_reset_a_closed_connection() {
-    use tokio::io::AsyncWriteExt as _;
     let connections = Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG);
     let linger = connections.linger.clone();
     actix_rt::spawn(async move { linger.run().await });
@@ -271,7 +265,6 @@
 /// An idle connection on which a call has begun to arrive is not closed, neither by timeout nor to make room.
 #[actix_rt::test]
 async fn a_connection_with_an_unread_call_is_not_closed_as_idle() {
-    use tokio::io::AsyncWriteExt as _;
     let connections =
         Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), Duration::ZERO, Duration::ZERO);
     let (mut peer, stream) = pair(&connections).await;
@@ -318,3 +311,29 @@
     assert!(timeout(10 * HANG_UP_CHECK_INTERVAL, both).await.is_err());
     assert!((3..30).contains(&polls), "{polls} polls");
 }
+
+/// Guards against a deadline that counts from when a call was read, and not from when it arrived: bytes may wait
+/// in the socket before the connection is accepted or read.
+#[actix_rt::test]
+async fn a_call_counts_as_arrived_when_its_bytes_reached_the_socket() {
+    let connections = Connections::for_clients(4, CallMemoryBook::new(CALL_MEMORY), LONG, LONG);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    peer.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    let sent_at = Instant::now();
+    let accepted = listener.accept().await.unwrap().0;
+    while unread_time::unread_time(&accepted).is_zero() {
+        tokio::task::yield_now().await;
+    }
+    let waited = sent_at.elapsed();
+    let mut stream = connections.track(accepted);
+    assert_eq!(stream.read(&mut [0; 64]).await.unwrap(), 18);
+    let read_after = stream.0.arrived_at().saturating_duration_since(sent_at);
+    assert!(read_after < waited, "{read_after:?} after it was sent, read after {waited:?}");
+    stream.0.begin_call(BodyFraming::Complete);
+    stream.0.end_call();
+    // What arrives later has not waited.
+    peer.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    assert_eq!(stream.read(&mut [0; 64]).await.unwrap(), 18);
+    assert!(stream.0.arrived_at() > sent_at + waited);
+}
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -362,11 +362,12 @@
         }
     }
     engine_request.text = text;
-    // The time left counts from the arrival of the call, which may have waited while this process was
-    // stalled.
+    // The time left counts from the arrival of the call, which may have waited while this process was paused
+    // or busy.
     let now = Instant::now();
-    core.pause_detector.record_activity(now);
-    statement.time_left = statement.time_left.saturating_sub(core.pause_detector.queueing_delay(now));
+    let in_socket = connection.as_ref().map_or(now, |connection| connection.arrived_at());
+    let arrived_at = in_socket.min(core.earliest_arrival(now));
+    statement.time_left = statement.time_left.saturating_sub(now.saturating_duration_since(arrived_at));
     let id = statement.id.clone();
     let client = ClientPresence::new(now);
     let open_call = client.open_call(connection.as_ref());
--- a/crates/rig/src/soak/client.rs
+++ b/crates/rig/src/soak/client.rs
@@ -91,21 +91,35 @@
     threads: Vec<std::thread::JoinHandle<Vec<Request>>>,
 }
 
+/// The share of requests, in percent, whose clients usually disconnect before the answer.
+pub const USUAL_DISCONNECT_PERCENT: u32 = 5;
+
+/// How the clients of a gateway behave.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientBehavior {
+    pub count: usize,
+    /// The average time between two requests of a client.
+    pub mean_interval: Duration,
+    /// The share of requests, in percent, whose clients disconnect before the answer.
+    pub disconnect_percent: u32,
+}
+
 impl Clients {
-    /// Starts `count` clients of a gateway, each with a request every `mean_interval` on average.
+    /// Starts clients of a gateway.
     pub fn start(
         gateway: &Gateway,
-        count: usize,
-        mean_interval: Duration,
+        behavior: ClientBehavior,
         seed: u64,
         next_request_id: &Arc<AtomicU64>,
     ) -> Clients {
+        let ClientBehavior { count, mean_interval, disconnect_percent } = behavior;
         let shutdown = Arc::new(AtomicBool::new(false));
         let threads = (0..count as u64).map(|number| {
             let mut client = Client {
                 number: gateway.number,
                 address: gateway.address,
                 phase: gateway.phase.clone(),
+                disconnect_percent,
                 rng: WyRand::new_seed(seed.wrapping_mul(1009).wrapping_add(number)),
                 connection: None,
                 next_request_id: next_request_id.clone(),
@@ -136,6 +150,7 @@
     number: usize,
     address: std::net::SocketAddr,
     phase: Arc<Mutex<Phase>>,
+    disconnect_percent: u32,
     rng: WyRand,
     connection: Option<BufReader<TcpStream>>,
     next_request_id: Arc<AtomicU64>,
@@ -210,7 +225,7 @@
     /// Reads answers and polls until the final one, or disconnects early.
     fn await_result(&mut self, record: &mut Request, mut connection: BufReader<TcpStream>) -> RequestOutcome {
         let deadline = record.sent_at + WORKLOADS[record.workload].deadline;
-        let disconnects_at = (self.rng.generate_range(0..100u32) < 5)
+        let disconnects_at = (self.rng.generate_range(0..100u32) < self.disconnect_percent)
             .then(|| record.sent_at + Duration::from_millis(self.rng.generate_range(0..400)));
         let until = disconnects_at.unwrap_or(deadline + ANSWER_SLACK).min(deadline + ANSWER_SLACK);
         let (mut poll_path, mut retries): (Option<String>, usize) = (None, 0);
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -9,7 +9,7 @@
 pub mod gateways;
 pub mod judge;
 
-use client::{Clients, RequestOutcome};
+use client::{ClientBehavior, Clients, RequestOutcome, USUAL_DISCONNECT_PERCENT};
 use discovery::{Discovery, Entry, NameFaults};
 use engine::{Engine, Mode};
 use faults::{Fault, FaultParameters, Plan};
@@ -153,8 +153,14 @@
 
     /// Starts `count` clients of a gateway.
     pub fn clients(&self, gateway: usize, count: usize, mean_interval: Duration) -> Clients {
+        let disconnect_percent = USUAL_DISCONNECT_PERCENT;
+        self.clients_of(gateway, ClientBehavior { count, mean_interval, disconnect_percent })
+    }
+
+    /// Starts clients of one gateway that behave like this.
+    pub fn clients_of(&self, gateway: usize, behavior: ClientBehavior) -> Clients {
         let seed = self.seed.wrapping_mul(7919).wrapping_add(gateway as u64 * 101);
-        Clients::start(&self.gateways[gateway], count, mean_interval, seed, &self.next_request_id)
+        Clients::start(&self.gateways[gateway], behavior, seed, &self.next_request_id)
     }
 
     fn start_engine(&mut self, slot: usize) -> io::Result<()> {
--- a/crates/rig/tests/pauses.rs
+++ b/crates/rig/tests/pauses.rs
@@ -1,5 +1,6 @@
 //! After a pause of its process, a gateway reads what arrived meanwhile before it applies any timeout.
 
+use bramblewharf_rig::soak::client::{ClientBehavior, USUAL_DISCONNECT_PERCENT};
 use bramblewharf_rig::soak::engine::Mode;
 use bramblewharf_rig::soak::faults::Fault;
 use bramblewharf_rig::soak::gateways::{Exit, Gateway};
@@ -111,13 +112,24 @@
     let program = Path::new(env!("CARGO_BIN_EXE_bramblewharf-rig"));
     // With second copies allowed, and forbidden.
     for seed in [4, 5] {
-        with_short_pauses(seed, program);
+        with_short_pauses(seed, 60, USUAL_DISCONNECT_PERCENT, program);
     }
 }
 
-fn with_short_pauses(seed: u64, program: &Path) {
+/// Guards against executions for clients whose disconnect arrived during a pause and has not been read yet, and
+/// against deadlines that count from after a pause.
+#[test]
+fn nothing_is_sent_for_clients_that_disconnect_during_many_short_pauses() {
+    let program = Path::new(env!("CARGO_BIN_EXE_bramblewharf-rig"));
+    for seed in [8, 9] {
+        with_short_pauses(seed, 20, 50, program);
+    }
+}
+
+fn with_short_pauses(seed: u64, count: usize, disconnect_percent: u32, program: &Path) {
     let mut fleet = Fleet::start(1, 4, seed, program).unwrap();
-    let clients = vec![fleet.clients(0, 60, 20 * MS)];
+    let behavior = ClientBehavior { count, mean_interval: 20 * MS, disconnect_percent };
+    let clients = vec![fleet.clients_of(0, behavior)];
     fleet.run(800 * MS).unwrap();
     for round in 0..24u32 {
         if round % 6 == 2 {
