--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -11,6 +11,7 @@
 mod names;
 mod record;
 mod case_lengths;
+mod case_full;
 
 use std::process::exit;
 use std::thread;
@@ -40,6 +41,7 @@
     record::line(&format!("case {name}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match name.as_str() {
         "lengths" => case_lengths::play(trouble),
+        "full" => case_full::play(trouble),
         _ => Err(format!("no case is named {name}")),
     };
     match verdict {
