--- /dev/null
+++ b/review/standins-2/case_clock.rs
@@ -0,0 +1,112 @@
+//! A new engine's machine has its wall clock stepped back: is the engine, cold as it is, sent more than it can
+//! stand?
+
+use crate::client::{self, End, Message};
+use crate::engine::{Behaviour, Engine, Plan, Run};
+use crate::gateway::Gateway;
+use crate::names::{known, Listed, NameService};
+use crate::{record, Verdict};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The work of a statement, on one thread.
+const WORK: Duration = Duration::from_millis(100);
+const CORES: f64 = 8.0;
+const START_CAPACITY: f64 = 0.32;
+const FALL_MULTIPLE: f64 = 2.0;
+const WINDOW: Duration = Duration::from_secs(2);
+/// A window is 50 ms longer on sockets.
+const SLACK: Duration = Duration::from_millis(50);
+const COLD: Duration = Duration::from_secs(15);
+const PER_SECOND: u64 = 100;
+/// When the new engine comes up and the others begin to drain, and when the clients stop.
+const REPLACED_AFTER: Duration = Duration::from_secs(3);
+const ENDS_AFTER: Duration = Duration::from_secs(11);
+/// By how much the clock was stepped.
+const STEP: Duration = Duration::from_secs(3600);
+
+struct Lookup;
+
+impl Behaviour for Lookup {
+    fn plan(&self, _: &Message) -> Plan {
+        Plan { takes: WORK, pages: vec![b"a\t1\tx\n".to_vec()] }
+    }
+}
+
+/// The most statements of that work that a cold engine stands in the window: N is what the settings allow.
+fn bound() -> f64 {
+    let n = FALL_MULTIPLE * START_CAPACITY * CORES * WINDOW.as_secs_f64() / WORK.as_secs_f64();
+    n + if n < 30.0 { 3.0 * n.sqrt() + 3.0 } else { 2.0 * n.sqrt() + 2.0 }
+}
+
+/// The most statements that came in any window.
+fn most(runs: &[Run]) -> usize {
+    let begun: Vec<Instant> = runs.iter().map(|run| run.begun).collect();
+    let in_window = |from: &Instant| begun.iter().filter(|at| *at >= from && **at < *from + WINDOW - SLACK).count();
+    begun.iter().map(in_window).max().unwrap_or(0)
+}
+
+pub fn play(trouble: bool) -> Verdict {
+    let mut engines = Vec::new();
+    for name in ["e-1", "e-2", "e-3"] {
+        engines.push(Engine::start(name, 1000, Lookup)?);
+    }
+    let mut listed: Vec<Listed> = engines.iter().take(2).map(|e| Listed::new(&e.name, e.address.port())).collect();
+    let names = NameService::start(1, &listed)?;
+    let config = format!(
+        "{{\"name\":\"g-1\",\"listen\":\"127.0.0.1:1\",\"seed\":\"8c1f30d27a5be964\",\
+          \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"names\":\"{}\",\"known\":{},\
+          \"settings\":{{\"balancers\":1,\"zone\":\"here\",\"tickUs\":5000,\"kinds\":[\"std\"],\
+          \"tenants\":[{{\"name\":\"acme\"}}],\"domain\":{{\"sizeCores\":[{CORES}],\"kindMemoryMb\":[24576]}},\
+          \"profiles\":[{{\"name\":\"lookup\",\"promiseUs\":400000,\"deadlineUs\":2000000,\"effect\":\"read_like\",\"gain\":1}}],\
+          \"allowed\":{{\"tryLimit\":5,\"mayCancel\":true,\"secondCopies\":true,\"retryAfter\":true,\"maxRetryAfterUs\":2000000,\
+          \"dialTimeoutUs\":250000,\"keepaliveUs\":15000000}},\
+          \"rules\":{{\"startCapacity\":{START_CAPACITY},\"coldUs\":{},\"fallMultiple\":{FALL_MULTIPLE},\"tipAfterUs\":{},\
+          \"stopSendingWithinUs\":250000}}}}}}",
+        names.address,
+        known(1, &listed),
+        COLD.as_micros(),
+        WINDOW.as_micros(),
+    );
+    let gateway = Gateway::start("g-1", &config, None)?;
+    let began = Instant::now();
+    let counts = Arc::new(Mutex::new((0, 0)));
+    let (mut replaced, mut calls, mut sent) = (false, Vec::new(), 0);
+    while began.elapsed() < ENDS_AFTER {
+        if !replaced && began.elapsed() >= REPLACED_AFTER {
+            replaced = true;
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| e.to_string())?;
+            let mut started = Listed::new(&engines[2].name, engines[2].address.port());
+            // The time of its start by the clock of its machine.
+            started.started = if trouble { now - STEP } else { now }.as_millis() as u64;
+            listed.iter_mut().for_each(|engine| engine.draining = true);
+            record::line(&format!("e-1 and e-2 drain, e-3 is up since {}", started.started));
+            listed.push(started);
+            names.set(2, &listed);
+        }
+        let (address, counts) = (gateway.address, counts.clone());
+        calls.push(thread::spawn(move || {
+            let id = client::new_id();
+            let end = client::run(address, "lookup", &id, 2000, &[], "SELECT day FROM sales_17.orders");
+            record::line(&format!("client gets {id}: {}", end.word()));
+            if let Ok(mut counts) = counts.lock() {
+                counts.0 += usize::from(matches!(end, End::Served(_)));
+                counts.1 += 1;
+            }
+        }));
+        sent += 1;
+        sleep((began + Duration::from_micros(sent * 1_000_000 / PER_SECOND)).saturating_duration_since(Instant::now()));
+    }
+    calls.into_iter().for_each(|call| drop(call.join()));
+    let (served, all) = *counts.lock().map_err(|e| e.to_string())?;
+    // All of this comes while the engine is cold.
+    let (most, bound) = (most(&engines[2].runs()), bound());
+    let line = format!("{all} statements, {served} served; e-3 got {most} within 2 s while cold, and stands {bound:.0}");
+    println!("{line}");
+    record::line(&line);
+    if served == 0 {
+        return Err("nothing was served".into());
+    }
+    Ok(most as f64 <= bound)
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -13,6 +13,7 @@
 mod case_lengths;
 mod case_full;
 mod case_pipeline;
+mod case_clock;
 mod case_policy;
 
 use std::process::exit;
@@ -45,6 +46,7 @@
         "lengths" => case_lengths::play(trouble),
         "full" => case_full::play(trouble),
         "pipeline" => case_pipeline::play(trouble),
+        "clock" => case_clock::play(trouble),
         "policy" => case_policy::play(trouble),
         _ => Err(format!("no case is named {name}")),
     };
