--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -29,8 +29,6 @@
     pub begun: Instant,
     /// When it has done its work, if it is let.
     pub done: Instant,
-    /// What `X-Max-Ms` of the call said.
-    pub max_ms: u64,
     /// When its end was first written, it was given up, or nobody had asked for it for too long.
     pub over: Option<(Instant, &'static str)>,
 }
@@ -209,11 +207,11 @@
     fn begin(&self, id: &str, call: &Message) {
         let plan = self.behaviour.plan(call);
         let now = Instant::now();
-        let max_ms = call.field("X-Max-Ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+        let max_ms = call.field("X-Max-Ms").unwrap_or("?");
         record::line(&format!("{} runs {id} (X-Max-Ms {max_ms}), for {} ms", self.name, plan.takes.as_millis()));
         let mut state = self.state();
         let run = state.runs.len();
-        state.runs.push(Run { id: id.into(), begun: now, done: now + plan.takes, max_ms, over: None });
+        state.runs.push(Run { id: id.into(), begun: now, done: now + plan.takes, over: None });
         state.queries.insert(id.into(), Query { run, ends: now + plan.takes, asked: now, pages: plan.pages });
     }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,7 +12,7 @@
 mod record;
 mod case_lengths;
 mod case_full;
-mod case_pipeline;
+mod case_budget;
 mod case_clock;
 mod case_policy;
 
@@ -45,7 +45,7 @@
     let verdict = match name.as_str() {
         "lengths" => case_lengths::play(trouble),
         "full" => case_full::play(trouble),
-        "pipeline" => case_pipeline::play(trouble),
+        "budget" => case_budget::play(trouble),
         "clock" => case_clock::play(trouble),
         "policy" => case_policy::play(trouble),
         _ => Err(format!("no case is named {name}")),
