--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -4,6 +4,7 @@
 use crate::record;
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -15,6 +16,14 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Has the system kill the calling process when the case ends, however it does (PR_SET_PDEATHSIG, SIGKILL).
+fn end_with_the_case() -> std::io::Result<()> {
+    // SAFETY: a plain system call.
+    unsafe { prctl(1, 9 as std::ffi::c_ulong) };
+    Ok(())
 }
 
 pub const SIGTERM: i32 = 15;
@@ -93,7 +102,8 @@
             run += &format!(" --settings {}", settings_file.display());
         }
         let log = File::create(folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", &run])
             .env("EDGE_NAME", name)
             .env("EDGE_LISTEN", address.to_string())
@@ -101,9 +111,9 @@
             .env("TMPDIR", &folder)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .map_err(|e| e.to_string())?;
+            .stderr(log);
+        // SAFETY: what is called between fork and exec is one system call.
+        let child = unsafe { command.pre_exec(end_with_the_case) }.spawn().map_err(|e| e.to_string())?;
         let pid = child.id();
         CHILDREN.lock().map_err(|e| e.to_string())?.push(child);
         let gateway = Gateway { name: name.to_string(), address, pid };
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -42,15 +42,16 @@
         end(2, "the time limit of the case is over");
     });
     record::line(&format!("case {name}, {} the disruption", if trouble { "with" } else { "without" }));
-    let verdict = match name.as_str() {
+    let name = name.clone();
+    let verdict = std::panic::catch_unwind(move || match name.as_str() {
         "lengths" => case_lengths::play(trouble),
         "full" => case_full::play(trouble),
         "budget" => case_budget::play(trouble),
         "clock" => case_clock::play(trouble),
         "policy" => case_policy::play(trouble),
         _ => Err(format!("no case is named {name}")),
-    };
-    match verdict {
+    });
+    match verdict.unwrap_or_else(|_| Err("a panic".into())) {
         Ok(true) => end(0, "the rule held"),
         Ok(false) => end(1, "the rule was broken"),
         Err(why) => end(2, &format!("the case could not run: {why}")),
