--- a/review/standins-2/case_policy.rs
+++ b/review/standins-2/case_policy.rs
@@ -75,7 +75,7 @@
     let file = |name: &str| folder.join(name).display().to_string();
     let mut command = Command::new("target/release/bramblewharf");
     command.args(["policy", "propose", &file("second.hcl"), "--settings", &file("g-0.hcl"), "--reason", "review"]);
-    let output = command.output().map_err(|e| e.to_string())?;
+    let output = gateway::bind_to_case(&mut command).output().map_err(|e| e.to_string())?;
     record::line(&format!("policy propose: {} {}", output.status, String::from_utf8_lossy(&output.stdout).replace('\n', "; ")));
     Ok(output.status.code() == Some(0))
 }
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -13,6 +13,8 @@
     pub fields: Vec<(String, String)>,
     pub body: Vec<u8>,
     pub status: u16,
+    /// The cells of all answers of a request, in order, in its last answer.
+    pub rows: Vec<String>,
 }
 
 impl Message {
@@ -82,7 +84,7 @@
         };
         self.buffer.drain(..end);
         let status = start.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
-        Some(Message { start, fields, body, status })
+        Some(Message { start, fields, body, status, rows: Vec::new() })
     }
 }
 
@@ -180,25 +182,40 @@
     let until = Instant::now() + Duration::from_millis(deadline_ms + 500);
     let mut reader = Reader::new(stream);
     let Some(mut answer) = reader.next(until) else { return End::Nothing };
-    let mut again = 0;
+    let (mut again, mut rows) = (0, cells(&answer));
     while let Some(path) = answer.link() {
         let call = format!("GET {path} HTTP/1.1\r\nHost: origin.svc\r\n\r\n");
         let sent = reader.stream.write_all(call.as_bytes());
         match sent.ok().and_then(|()| reader.next(until)) {
-            Some(next) => answer = next,
+            Some(next) => {
+                answer = next;
+                rows.extend(cells(&answer));
+            }
             None if again < 3 && Instant::now() < until => {
                 again += 1;
                 let Some(stream) = connect(address) else { return End::Nothing };
                 reader = Reader::new(stream);
             }
-            None => return End::Nothing,
+            None => {
+                leave(address, &path);
+                return End::Nothing;
+            }
         }
     }
+    answer.rows = rows;
     End::of(answer)
 }
 
+/// A client that stops waiting calls the last path with DELETE on a new connection.
+fn leave(address: SocketAddr, path: &str) {
+    if let Some(mut stream) = connect(address) {
+        let _ = stream.write_all(format!("DELETE {path} HTTP/1.1\r\nHost: origin.svc\r\n\r\n").as_bytes());
+        let _ = Reader::new(stream).next(Instant::now() + Duration::from_millis(200));
+    }
+}
+
 /// The cells of `values` in an answer, in order.
-pub fn cells(answer: &Message) -> Vec<String> {
+fn cells(answer: &Message) -> Vec<String> {
     let text = String::from_utf8_lossy(&answer.body).into_owned();
     let Some(rest) = text.split_once("\"values\":").map(|(_, rest)| rest.to_string()) else { return Vec::new() };
     let (mut cells, mut cell, mut inside, mut escaped) = (Vec::new(), String::new(), false, false);
--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -193,7 +193,7 @@
                     self.give_up(id);
                     Answer::plain("204 No Content")
                 }
-                ("GET", ["ping"]) => Answer::plain("200 OK"),
+                ("GET", ["ping" | "load"]) => Answer::plain("200 OK"),
                 _ => Answer::plain("500 Internal Server Error"),
             };
             if !self.behaviour.write(&mut reader.stream, &answer) {
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -19,7 +19,13 @@
     fn prctl(option: i32, ...) -> i32;
 }
 
-/// Has the system kill the calling process when the case ends, however it does (PR_SET_PDEATHSIG, SIGKILL).
+/// Has the system kill a process that the case starts when the case ends, however it does.
+pub fn bind_to_case(command: &mut Command) -> &mut Command {
+    // SAFETY: what is called between fork and exec is one system call.
+    unsafe { command.pre_exec(end_with_the_case) }
+}
+
+/// PR_SET_PDEATHSIG, SIGKILL.
 fn end_with_the_case() -> std::io::Result<()> {
     // SAFETY: a plain system call.
     unsafe { prctl(1, 9 as std::ffi::c_ulong) };
@@ -112,8 +118,7 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log);
-        // SAFETY: what is called between fork and exec is one system call.
-        let child = unsafe { command.pre_exec(end_with_the_case) }.spawn().map_err(|e| e.to_string())?;
+        let child = bind_to_case(&mut command).spawn().map_err(|e| e.to_string())?;
         let pid = child.id();
         CHILDREN.lock().map_err(|e| e.to_string())?.push(child);
         let gateway = Gateway { name: name.to_string(), address, pid };
