A start that the list states differently ends no execution; the process's answers do

What callers saw: where a statement may have only one execution out, a second one went out beside the first, as the list stated another start for an engine that went on. And a statement whose engine had started anew waited until its time was over (Busy), as the new process stated an earlier start or the gateway's clock was ahead.

Cause: is_after_execution took an engine for another process if the list stated a later start than before, and later than the execution: two words of lists, which may differ for one process, and two machines' wall clocks.

Change: a start that differs is EngineListing::OtherStart and proves nothing. The process is asked as before; the execution is over once it was unknown in all answers for 0.5 s (another process answers, or the same one has read by then what had reached it), or refused for 2.5 s. What was decided on for the former start and has not begun is decided anew.

Price: 0.5 s of answers after a real restart, where it was at once.

--- a/crates/gateway/src/engines/cancel.rs
+++ b/crates/gateway/src/engines/cancel.rs
@@ -42,6 +42,9 @@
                         self.classify(&reply),
                         ExecutionState::Running(_) | ExecutionState::Completed(_)
                     );
+                    if contacts.answer_proves_end(asked, arrived, (target.listing)()) {
+                        return CancelOutcome::Gone;
+                    }
                     answered.get_or_insert(asked);
                     if arrived {
                         continue;
--- a/crates/gateway/src/engines/execution.rs
+++ b/crates/gateway/src/engines/execution.rs
@@ -60,7 +60,8 @@
             let proves_end = call.proves_end(&mut progress.contacts, asked, dispatch.target);
             let ended = match call {
                 CallResult::Answered(reply) => {
-                    self.process_answer(channel, dispatch, &id, &reply, &mut progress, &on_update).await
+                    self.process_answer(channel, dispatch, &id, (&reply, asked), &mut progress, &on_update)
+                        .await
                 }
                 failed => self.process_failure(failed, proves_end, dispatch, &id, &mut progress).await,
             };
@@ -136,12 +137,18 @@
         channel: &mut EngineChannel<'_>,
         dispatch: &Dispatch<'_>,
         id: &str,
-        reply: &Reply,
+        (reply, asked): (&Reply, Instant),
         progress: &mut Progress,
         on_update: &impl Fn(ExecutionUpdate),
     ) -> Option<ExecutionResult> {
         progress.failures_in_a_row = 0;
-        match self.classify(reply) {
+        let state = self.classify(reply);
+        let is_known = !matches!(state, ExecutionState::Failed(Outcome::Error));
+        let listing = (dispatch.target.listing)();
+        if progress.contacts.answer_proves_end(asked, is_known, listing) {
+            return Some(Outcome::Reset.into());
+        }
+        match state {
             ExecutionState::Running(note) => {
                 if !std::mem::replace(&mut progress.arrived, true) {
                     on_update(ExecutionUpdate::Arrived);
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -10,7 +10,7 @@
 use crate::orphans::OrphanTracker;
 use crate::policy::Names;
 use crate::predecessor_check::PredecessorCheck;
-use bramblewharf::engine_contact::{is_after_execution, EngineListing};
+use bramblewharf::engine_contact::EngineListing;
 use bramblewharf::interface::*;
 use bramblewharf::scheduler::{Refusal, Rule, Scheduler};
 use bramblewharf_fleet::node::{Node, Remains};
@@ -338,12 +338,12 @@
         let is_present = |listed: &&ListedEngine| listed.entry.state != EngineState::Gone;
         let at_address = |listed: &ListedEngine| listed.address == destination.address;
         let has_address = || self.engines.values().filter(is_present).any(at_address);
-        let has_started_anew = |listed: &ListedEngine| {
-            is_after_execution(listed.entry.started, destination.started, destination.sent_at)
+        let states_other_start = |listed: &ListedEngine| {
+            listed.entry.started != destination.started && listed.entry.started != ProcessStart::LongAgo
         };
         let engine = destination.engine.as_ref();
         match engine.and_then(|id| self.engines.get(id)).filter(is_present) {
-            Some(listed) if has_started_anew(listed) => EngineListing::Replaced,
+            Some(listed) if at_address(listed) && states_other_start(listed) => EngineListing::OtherStart,
             Some(listed) if at_address(listed) => EngineListing::Listed,
             _ if !self.listed => EngineListing::Listed,
             _ if !has_address() => EngineListing::Dropped,
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -351,7 +351,8 @@
                             held_back_by,
                             core.list_confirmed.get().elapsed(),
                         );
-                        let may_send = in_time && held_back_by.is_none();
+                        let is_same_process = core.reducer.borrow().engine_listing(&destination).may_begin();
+                        let may_send = in_time && held_back_by.is_none() && is_same_process;
                         if may_send {
                             core.reducer.borrow_mut().check_send(now, &id, execution);
                         }
--- a/src/engine_contact.rs
+++ b/src/engine_contact.rs
@@ -2,7 +2,6 @@
 //! that nothing ran of what would have been sent on it, but nothing of what was sent before: an engine that
 //! holds as many connections as it accepts refuses further ones and runs on.
 
-use crate::interface::ProcessStart;
 use std::time::{Duration, Instant};
 
 /// Engines end an execution that nobody has asked for during this time.
@@ -20,20 +19,19 @@
     Listed,
     /// The engine is no longer on the list, and neither is its address.
     Dropped,
-    /// Another engine has the address, or the engine has started anew: the former process is gone, and calls
-    /// would reach the wrong one.
+    /// Another engine has the address: the former process is gone, and calls would reach the wrong one.
     Replaced,
+    /// The list states another start than when the execution was sent: the engine has started anew, or the
+    /// same process is stated differently, as by another replica or a clock that was corrected. Starts are
+    /// times of another machine's clock, which show neither.
+    OtherStart,
 }
 
-/// Whether an engine with this start is another process than the one with the `previous` start that an
-/// execution was sent to at `sent_at`. The list has to state a later start than before, and one after the
-/// execution: two lists may word the start of one process differently, and wall clocks may be stepped.
-pub fn is_after_execution(start: ProcessStart, previous: ProcessStart, sent_at: Duration) -> bool {
-    let stated = |start| match start {
-        ProcessStart::LongAgo => Duration::ZERO,
-        ProcessStart::Local(at) | ProcessStart::Foreign(at) => at,
-    };
-    stated(start) > stated(previous) && stated(start) > sent_at
+impl EngineListing {
+    /// Whether an execution may begin that was decided on for the process which the list had then.
+    pub fn may_begin(self) -> bool {
+        self != EngineListing::OtherStart
+    }
 }
 
 /// The result of an attempt to reach an engine.
@@ -50,6 +48,9 @@
 #[derive(Debug, Default)]
 pub struct ContactHistory {
     refused_since: Option<Instant>,
+    /// Since when every answer was that the engine does not know the execution, while the list stated another
+    /// start.
+    unknown_since: Option<Instant>,
 }
 
 impl ContactHistory {
@@ -63,11 +64,23 @@
             (_, EngineListing::Replaced) => true,
             (Contact::Established, _) => false,
             (_, EngineListing::Dropped) => true,
-            (Contact::Unreachable, EngineListing::Listed) => false,
-            (Contact::Refused, EngineListing::Listed) => {
+            (Contact::Unreachable, EngineListing::Listed | EngineListing::OtherStart) => false,
+            (Contact::Refused, EngineListing::Listed | EngineListing::OtherStart) => {
                 let since = *self.refused_since.get_or_insert(now);
                 now.saturating_duration_since(since) >= REFUSAL_BOUND
             }
         }
     }
+
+    /// Records that the engine answered a call made at `now`, and whether it knows the execution. Returns
+    /// whether the execution can't run any more, as another process answers, or the same one has read by then
+    /// whatever had reached it and knows nothing of it.
+    pub fn answer_proves_end(&mut self, now: Instant, is_known: bool, listing: EngineListing) -> bool {
+        if is_known || listing != EngineListing::OtherStart {
+            self.unknown_since = None;
+            return false;
+        }
+        let since = *self.unknown_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= READ_BOUND
+    }
 }
