Directories of bodies that processes left are judged by locks, not by file times

What callers saw: nothing that was reported. A gateway that starts could remove the directory that a neighbour was just creating, so that the neighbour failed to start, and leave one that a dead process had left half made.

Cause: an unfinished directory counted as abandoned once its file time was a minute old by the wall clock. The file time is by the clock of whoever keeps the files, and either clock may have been stepped.

Evidence: the new test fails on the code before: with a file time an hour back the directory that is being created is removed. The moment is short (mkdir to lock); no failed start was seen.

Change: creating and removing happen under a lock on files.dir itself; who has it knows that no directory is being created.

--- a/crates/bodies/src/spool.rs
+++ b/crates/bodies/src/spool.rs
@@ -4,13 +4,14 @@
 
 use bytes::Bytes;
 use std::fmt;
-use std::fs::{self, File};
+use std::fs::{self, File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// Unit in which a body is written, checksummed and read, in bytes.
@@ -48,8 +49,10 @@
 const DIRECTORY_PREFIX: &str = "bodies-";
 const TEMPORARY_PREFIX: &str = "new-bodies-";
 const LOCK_FILE: &str = "lock";
-/// An unfinished directory older than this belongs to a process that died while creating it.
-const STALE_AFTER: Duration = Duration::from_secs(60);
+/// How long a process waits for another one that is creating its directory or removing others, and how often
+/// it tries meanwhile.
+const MAX_GATE_WAIT: Duration = Duration::from_secs(1);
+const GATE_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// This process's own directory below the configured one. A file lock marks it as in use while the process
 /// lives: opening removes the directories of processes that have died and leaves those of running neighbours
@@ -64,19 +67,14 @@
 impl SpoolDirectory {
     /// Removes the directories of dead processes below `dir` and creates one for this process.
     pub fn open(dir: &Path) -> io::Result<SpoolDirectory> {
+        let gate = lock_gate(dir);
         let mut removed = 0;
         for entry in fs::read_dir(dir)?.flatten() {
             let name = entry.file_name().to_string_lossy().into_owned();
-            // A directory that another process is creating has no lock for a moment.
-            let is_stale = || {
-                entry
-                    .metadata()
-                    .and_then(|m| m.modified())
-                    .is_ok_and(|at| at.elapsed().is_ok_and(|t| t > STALE_AFTER))
-            };
-            let is_spool_directory =
-                name.starts_with(DIRECTORY_PREFIX) || name.starts_with(TEMPORARY_PREFIX) && is_stale();
-            if is_spool_directory
+            // A directory that another process is creating has no lock for a moment; with the gate, none is
+            // being created.
+            let is_unfinished = name.starts_with(TEMPORARY_PREFIX) && gate.is_some();
+            if (name.starts_with(DIRECTORY_PREFIX) || is_unfinished)
                 && entry.file_type().is_ok_and(|kind| kind.is_dir())
                 && is_abandoned(&entry.path())
             {
@@ -110,6 +108,20 @@
     }
 }
 
+/// Takes the lock on the configured directory, under which processes create their own directories and remove
+/// abandoned ones. None where a process that is stopped holds it, or the file system has no such locks.
+fn lock_gate(dir: &Path) -> Option<File> {
+    let gate = File::open(dir).ok()?;
+    let began = Instant::now();
+    loop {
+        match gate.try_lock() {
+            Ok(()) => return Some(gate),
+            Err(TryLockError::WouldBlock) if began.elapsed() < MAX_GATE_WAIT => sleep(GATE_RETRY_INTERVAL),
+            Err(_) => return None,
+        }
+    }
+}
+
 /// Whether the owner has died. A directory gets its final name only after its lock, so one without a lock
 /// file was partly removed.
 fn is_abandoned(directory: &Path) -> bool {
--- a/crates/bodies/tests/store.rs
+++ b/crates/bodies/tests/store.rs
@@ -344,6 +344,33 @@
     assert!(paths.iter().all(|path| !path.exists()));
 }
 
+/// Guards against a start that takes file times, which may be another machine's, for how long ago something
+/// was: the directory that a neighbour was just creating was removed, and one that a dead process had left
+/// stayed.
+#[test]
+fn unfinished_directories_are_judged_by_locks_and_not_by_file_times() {
+    let dir = tempfile::tempdir().unwrap();
+    let hour = std::time::Duration::from_secs(3600);
+    let unfinished = |name: &str, modified| {
+        let path = dir.path().join(name);
+        std::fs::create_dir(&path).unwrap();
+        std::fs::File::open(&path).unwrap().set_modified(modified).unwrap();
+        path
+    };
+    let now = std::time::SystemTime::now();
+    let old = unfinished("new-bodies-old", now - hour);
+    let future = unfinished("new-bodies-future", now + hour);
+    // A neighbour is creating one of them.
+    let gate = std::fs::File::open(dir.path()).unwrap();
+    gate.lock().unwrap();
+    let beside = SpoolDirectory::open(dir.path()).unwrap();
+    assert!((beside.removed, old.exists(), future.exists()) == (0, true, true));
+    drop(gate);
+    let alone = SpoolDirectory::open(dir.path()).unwrap();
+    assert!((alone.removed, old.exists(), future.exists()) == (2, false, false));
+    assert!(beside.path().exists() && alone.path().exists());
+}
+
 /// A write beyond RLIMIT_FSIZE fails like one to a full disk, and SIGXFSZ must not end the process. Runs in a
 /// child process, because the limit holds for a whole process.
 #[test]
