scheduler.rs: lists of engines and the end of an execution in modules of their own

Change: engine_list.rs takes lists in; execution_end.rs has the end of an execution in short functions, one for each of these. No decision changed, and the same operations on figures come in the same order. Engines whose start is not stated by a foreign clock are not remembered when they leave, as nothing of them is needed.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,6 +4,8 @@
 //! `docs/design.md`.
 
 pub(crate) mod cold_period;
+mod engine_list;
+mod execution_end;
 mod list_lease;
 mod send_guard;
 
@@ -14,7 +16,6 @@
 use cold_period::DepartedEngines;
 use list_lease::{ListLease, Stale};
 use nanorand::{Rng, WyRand};
-use send_guard::misplaced;
 pub use send_guard::Rule;
 use std::cell::{Cell, LazyCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -602,107 +603,6 @@
         density(&self.workload_stats[statement.request.workload]) / statement.coefficient / top
     }
 
-    /// Learns from the end of an execution and moves its statement on.
-    fn execution_ended(&mut self, now: Duration, end: ExecutionEnd) {
-        use Outcome::*;
-        if matches!(end.outcome, Completed | Error | Reset) {
-            self.record_sign_of_life(now, &end.engine);
-        }
-        if let (Some(report), Some(engine)) = (end.report, self.engines.get_mut(&end.engine)) {
-            engine.report = Some((now, report));
-        }
-        let Some(statement) = self.statements.get_mut(&end.id) else { return };
-        let x = statement.executions.get_mut(end.execution).filter(|x| x.state == ExecutionState::InFlight);
-        let Some(x) = x else { return };
-        let never = matches!(end.outcome, Full | Refused | Skipped);
-        x.state = if never { ExecutionState::NeverRan } else { ExecutionState::MayHaveRun };
-        x.refused = end.outcome == Refused;
-        let (weight, coefficient) = (x.weight, statement.coefficient);
-        let (group, key) = (statement.request.table_group, statement.request.key.clone());
-        let stats = &mut self.workload_stats[statement.request.workload];
-        let group = group.filter(|_| stats.config.holds_group);
-        if let Some(queue) =
-            key.filter(|_| stats.config.ordered).and_then(|key| self.ordering_queues.get_mut(&key))
-        {
-            if matches!(end.outcome, TimedOut | Reset | Cancelled) {
-                queue.blocked_until = queue.blocked_until.max(now + self.site.order_pause);
-            }
-        }
-        let elapsed = end.elapsed.as_secs_f64();
-        let mut slowdown = None;
-        if end.outcome == Completed {
-            let utilisation = self.engines.get(&end.engine).and_then(|e| e.report?.1.utilisation);
-            let spare = utilisation.is_some_and(|u| u < SPARE_UTILISATION);
-            stats.elapsed.update(elapsed / coefficient, LEARNING_RATE);
-            stats
-                .unloaded_elapsed
-                .update(elapsed / coefficient, if spare { LEARNING_RATE } else { LEARNING_RATE / 10.0 });
-            let most = elapsed * stats.config.threads * COEFFICIENT.1;
-            let consumed =
-                end.consumed.map(|(work, _)| work.as_secs_f64()).filter(|w| (1e-6..most).contains(w));
-            stats
-                .work
-                .update(consumed.unwrap_or(stats.unloaded_elapsed.0 * stats.config.threads), LEARNING_RATE);
-            slowdown = Some(
-                elapsed
-                    / consumed
-                        .map_or(stats.unloaded_elapsed.0 * coefficient, |work| work / stats.config.threads),
-            );
-            if let (Some((_, mem)), Some(estimate)) = (end.consumed, statement.request.est_mem_mb) {
-                stats.memory_ratio.update((mem / estimate).min(4.0 * COEFFICIENT.1), LEARNING_RATE);
-            }
-        }
-        let threads_per_statement = self.mean_threads();
-        if let Some(slowdown) = slowdown.filter(|_| end.report.is_some_and(|r| r.active_statements.is_some()))
-        {
-            self.mean_slowdown.update(slowdown.min(2.0 * MAX_SLOWDOWN), SLOWDOWN_LEARNING_RATE);
-        }
-        if let Some(engine) = self.engines.get_mut(&end.engine) {
-            engine.load = (engine.load - weight).max(0.0);
-            engine.sent_since_report = (engine.sent_since_report - weight).max(0.0);
-            if matches!(end.outcome, Full | TimedOut) {
-                (engine.reported_load, engine.sent_since_report) =
-                    (Some((now, MAX_SLOWDOWN * THREADS_PER_CORE)), 0.0);
-            } else if let Some(report) = end.report {
-                let by_statements =
-                    report.active_statements.map(|count| count * threads_per_statement / engine.cores);
-                let by_utilisation = report.utilisation.map(|u| {
-                    u / PRESSURE_UTILISATION
-                        * THREADS_PER_CORE
-                        * slowdown.unwrap_or(1.0).clamp(1.0, MAX_SLOWDOWN)
-                });
-                // Clamped: a wrong report must not shift the mean that is assumed for other engines.
-                if let Some(reported) =
-                    by_statements.or(by_utilisation).map(|t| t.clamp(0.0, MAX_SLOWDOWN * THREADS_PER_CORE))
-                {
-                    (engine.reported_load, engine.sent_since_report) = (Some((now, reported)), 0.0);
-                    self.mean_reported_load.update(reported, SLOWDOWN_LEARNING_RATE);
-                    self.reported_at = now;
-                }
-            }
-            match end.outcome {
-                Completed => self.signals.record_success(now, engine.mark),
-                TimedOut | Cancelled if engine.ejected.is_none() => {}
-                Refused | TimedOut | Cancelled => self.signals.record_failure(now, engine.mark),
-                _ => {}
-            }
-            engine.record_outcome(now, end.outcome, slowdown);
-        }
-        self.adjust_own_loads(now, &end.engine, group, -1);
-        if let Some(engine) = self.engines.get(&end.engine).filter(|engine| engine.is_removable()) {
-            self.departed.insert(&end.engine, engine.cold);
-            self.engines.remove(&end.engine);
-        }
-        self.advance(now, &end.id, if end.is_final { Input::Finished } else { Input::ExecutionFailed });
-        self.remove_if_done(now, &end.id);
-    }
-
-    /// Mean threads of a running statement: workloads whose statements run longer count more.
-    fn mean_threads(&self) -> f64 {
-        let sum = |of: fn(&WorkloadStats) -> f64| self.workload_stats.iter().map(of).sum::<f64>();
-        sum(|s| s.accepted * s.elapsed.0 * s.config.threads) / sum(|s| s.accepted * s.elapsed.0).max(1e-9)
-    }
-
     /// Records that an engine has answered something, so that it doesn't count as silent.
     fn record_sign_of_life(&mut self, now: Duration, engine: &Id) {
         self.engines.get_mut(engine).into_iter().for_each(|engine| engine.last_heard = now);
@@ -785,69 +685,6 @@
         }
     }
 
-    /// Applies a list of engines, or changes to it.
-    fn update_list(&mut self, now: Duration, kind: ListKind, entries: Vec<EngineEntry>) {
-        if kind == ListKind::Failed {
-            (self.list_failed, self.list_subscribed) = (true, false);
-            let pause = self.site.list_poll_interval.div_f64(16.0).max(TICK_INTERVAL);
-            self.list_due = Some(now + pause.mul_f32(1.0 + self.rng.generate::<f32>()));
-            return;
-        }
-        if kind != ListKind::Cached {
-            (self.list_failed, self.list_subscribed) =
-                (false, self.site.list_is_polled && self.list_due.is_none());
-        }
-        self.list_updated_at = now;
-        if kind != ListKind::Delta {
-            let named: BTreeSet<&Id> = entries.iter().map(|e| &e.id).collect();
-            for (_, gone) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                gone.entry.state = EngineState::Gone;
-            }
-        }
-        for entry in entries {
-            let cores = self.site.kinds.iter().find(|k| k.name == entry.kind).and_then(|k| k.cores);
-            let (stratum, part) = (self.stratum(&entry), self.subset.engine_share(&entry.id, 0));
-            let departed = &mut self.departed;
-            let new = || {
-                let cold = departed.take(&entry.id).unwrap_or_default();
-                Engine { cold, ..Engine::new(entry.clone(), part, now) }
-            };
-            let engine = self.engines.entry(entry.id.clone()).or_insert_with(new);
-            (engine.stratum, engine.cores) = (stratum, cores.unwrap_or(DEFAULT_CORES));
-            if engine.cold.observe(now, entry.started, self.site.slow_start.warm_after) {
-                (engine.ejected, engine.fault_level) = (None, 0.0);
-            }
-            engine.entry = entry;
-        }
-        self.remove_departed();
-        self.update_subset();
-    }
-
-    /// Removes the engines that are off the list and run nothing of this gateway.
-    fn remove_departed(&mut self) {
-        let Scheduler { engines, departed, .. } = self;
-        engines.retain(|id, engine| {
-            let is_removable = engine.is_removable();
-            if is_removable {
-                departed.insert(id, engine.cold);
-            }
-            !is_removable
-        });
-    }
-
-    /// Renews the lease on the list, so that no list is used that may hide a drain: name service silent, its
-    /// answers lost, or this process paused. Statements that waited for the answers are sent now. Costs
-    /// availability if the name service is down while nothing drains.
-    fn list_polled(&mut self, now: Duration, confirmed: Option<Duration>) {
-        self.list_lease.renew(now, confirmed);
-        if confirmed.is_some() {
-            self.conflicting_list = None;
-        }
-        for id in std::mem::take(&mut self.awaiting_list) {
-            self.advance(now, &id, Input::Ready);
-        }
-    }
-
     /// Periodic work: requests the list, finds silent engines, enforces deadlines, unblocks queues and drops
     /// what has expired.
     fn tick(&mut self, now: Duration) {
@@ -885,24 +722,6 @@
         }
     }
 
-    /// Recomputes which engines this gateway uses, its part of each, and whether slices are fractional.
-    fn update_subset(&mut self) {
-        let all = self.engines.iter().map(|(id, e)| (id, e.stratum, e.entry.state == EngineState::In));
-        self.subset.rebuild(all);
-        self.engines.iter_mut().for_each(|(id, e)| e.part = self.subset.engine_share(id, e.stratum));
-        self.signals.set_engines(self.engines.iter().map(|(id, e)| (id, e.part.position)));
-        self.fractional_slices = slices_are_fractional(&self.site, f64::from(self.subset.max_sharers()));
-    }
-
-    /// Engines that the same workloads may use form a stratum, by zone where crossing is priced: each
-    /// gateway's subset has some of each stratum.
-    fn stratum(&self, entry: &EngineEntry) -> u64 {
-        let zone = if self.site.cross_zone_priced { &*entry.zone } else { "" };
-        let misplaced =
-            self.workload_stats.iter().map(|stats| if misplaced(stats, entry) { "-" } else { "+" });
-        misplaced.fold(mix(0, zone), mix)
-    }
-
     /// Detects a pause of this gateway, which must not be taken for silence of engines: the time doesn't
     /// count, and no engine is judged before what arrived meanwhile is processed, unless every tick is late.
     fn was_paused(&mut self, now: Duration) -> bool {
--- a/src/scheduler/cold_period.rs
+++ b/src/scheduler/cold_period.rs
@@ -90,9 +90,13 @@
 }
 
 impl DepartedEngines {
-    /// Remembers an engine; the one that left first is forgotten where there are too many.
+    /// Remembers an engine whose start was stated by a foreign clock; the one that left first is forgotten
+    /// where there are too many.
     pub(crate) fn insert(&mut self, id: &Id, period: ColdPeriod) {
         self.take(id);
+        if period.starts[0].is_zero() {
+            return;
+        }
         self.departures += 1;
         self.periods.insert(id.clone(), (self.departures, period));
         self.order.insert(self.departures, id.clone());
